--- /dev/null
+++ b/src/app/app.cc
@@ -0,0 +1,347 @@
+#include "app/app.h"
+
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <type_traits>
+
+#include "cloud/cloud_client.h"
+#include "core/constants.h"
+#include "state/state_client.h"
+#include "wire/json.h"
+
+namespace sorrelwood {
+namespace {
+
+double SteadyNow() {
+  return std::chrono::duration<double>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+double WallNow() {
+  return std::chrono::duration<double>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+HttpReply Error(int status, const std::string& message,
+                double retry_after_s = 0) {
+  return {status, wire::EncodeError(message), "application/json",
+          retry_after_s};
+}
+
+void Log(const LogLine& line) {
+  switch (line.level) {
+    case LogLine::kDebug: spdlog::debug(line.text); break;
+    case LogLine::kInfo: spdlog::info(line.text); break;
+    case LogLine::kError: spdlog::error(line.text); break;
+  }
+}
+
+}  // namespace
+
+struct App::Slot {
+  std::mutex mutex;
+  std::condition_variable ready;
+  bool done = false;
+  Answer answer;
+};
+
+App::App(const ClusterSettings& settings, const PolicySettings& policy,
+         uint64_t incarnation)
+    : settings_(settings), controller_(settings, policy, incarnation) {}
+
+bool App::Run() {
+  Endpoint endpoint;
+  ParseEndpoint(settings_.listen, &endpoint);
+  // Half of the sockets at most are given to those who connect to us.
+  const size_t connections = std::min<size_t>(
+      kMaxConnections, static_cast<size_t>(settings_.sockets) / 2);
+  server_ = std::make_unique<HttpServer>(
+      endpoint, connections,
+      [this](const HttpRequest& request) { return Handle(request); });
+  listener_ = std::make_unique<MeshListener>(
+      settings_.mesh_listen, [this](MeshNote note) {
+        Post([note = std::move(note)](Controller& c, Controller::Time t) {
+          return c.Note(t, note);
+        });
+      });
+  if (!server_->Bind()) {
+    spdlog::error("can't listen on {}", settings_.listen);
+    return false;
+  }
+  if (!listener_->Bind()) {
+    spdlog::error("can't listen on {}", settings_.mesh_listen);
+    return false;
+  }
+  for (const Sibling& sibling : settings_.siblings)
+    senders_.push_back(std::make_unique<MeshSender>(sibling.address));
+  StartLanes();
+  StartThread("core", [this] { CoreLoop(); });
+  spdlog::info("{} in {} serves on {}", settings_.node, settings_.zone,
+               settings_.listen);
+  server_->Serve();
+  return true;
+}
+
+// --- The core ------------------------------------------------------------------
+
+void App::Post(Input input) {
+  std::lock_guard lock(input_mutex_);
+  inputs_.push_back(std::move(input));
+  input_ready_.notify_one();
+}
+
+void App::CoreLoop() {
+  double next_tick = 0, next_figures = 0;
+  for (;;) {
+    Input input;
+    {
+      std::unique_lock lock(input_mutex_);
+      const double wait = next_tick - SteadyNow();
+      if (inputs_.empty() && wait > 0)
+        input_ready_.wait_for(lock, std::chrono::duration<double>(wait));
+      if (!inputs_.empty()) {
+        input = std::move(inputs_.front());
+        inputs_.pop_front();
+      }
+    }
+    const Controller::Time time{SteadyNow(), WallNow()};
+    if (input) Dispatch(input(controller_, time));
+    if (time.steady >= next_tick) {
+      next_tick = time.steady + kTickS;
+      Dispatch(controller_.Tick(time));
+    }
+    if (time.steady >= next_figures) {
+      next_figures = time.steady + 5;
+      metrics_.Publish(controller_.Measure());
+    }
+  }
+}
+
+void App::Dispatch(Actions actions) {
+  for (Action& action : actions) {
+    std::visit(
+        [&](auto& item) {
+          using T = std::decay_t<decltype(item)>;
+          if constexpr (std::is_same_v<T, StateTransaction> ||
+                        std::is_same_v<T, StateGet>) {
+            auto& lane = item.lane == StateLane::kRenewal  ? renewal_lane_
+                         : item.lane == StateLane::kLeader ? leader_lane_
+                                                           : user_lane_;
+            lane.Push(std::move(item));
+          } else if constexpr (std::is_same_v<T, StateList>) {
+            list_lane_.Push(std::move(item));
+          } else if constexpr (std::is_same_v<T, StateWatch>) {
+            watch_lane_.Push(std::move(item));
+          } else if constexpr (std::is_same_v<T, LeaseCreate> ||
+                               std::is_same_v<T, LeaseRenew>) {
+            renewal_lane_.Push(std::move(item));
+          } else if constexpr (std::is_same_v<T, CloudRent> ||
+                               std::is_same_v<T, CloudRelease>) {
+            cloud_lane_.Push(std::move(item));
+          } else if constexpr (std::is_same_v<T, CloudCatalog> ||
+                               std::is_same_v<T, CloudList>) {
+            cloud_list_lane_.Push(std::move(item));
+          } else if constexpr (std::is_same_v<T, DirectCommand>) {
+            direct_lane_.Push(std::move(item));
+          } else if constexpr (std::is_same_v<T, AnswerUser>) {
+            Reply(item.request,
+                  {item.status, std::move(item.body), item.retry_after_s});
+          } else if constexpr (std::is_same_v<T, AnswerWorker>) {
+            Reply(item.request,
+                  {item.status, wire::EncodeWorkerAnswer(item), 0});
+          } else if constexpr (std::is_same_v<T, MeshSend>) {
+            for (auto& sender : senders_) sender->Post(item.note);
+          } else if constexpr (std::is_same_v<T, LogLine>) {
+            Log(item);
+          }
+        },
+        action);
+  }
+}
+
+void App::StartLanes() {
+  const auto deliver = [this](auto result) {
+    Post([result = std::move(result)](Controller& c, Controller::Time t) {
+      return c.Deliver(t, result);
+    });
+  };
+  const auto state_lane = [this, deliver](const char* name,
+                                          WaitQueue<Action>* queue,
+                                          double timeout_s) {
+    StartThread(name, [this, deliver, queue, timeout_s] {
+      StateClient client(settings_.state_address, timeout_s);
+      for (;;) {
+        const Action action = queue->Pop();
+        if (auto* t = std::get_if<StateTransaction>(&action))
+          deliver(client.Transact(*t));
+        else if (auto* get = std::get_if<StateGet>(&action))
+          deliver(client.Get(*get));
+        else if (auto* list = std::get_if<StateList>(&action))
+          deliver(client.List(*list));
+        else if (auto* watch = std::get_if<StateWatch>(&action))
+          deliver(client.Watch(*watch));
+        else if (auto* create = std::get_if<LeaseCreate>(&action))
+          deliver(client.CreateLease(*create));
+        else if (auto* renew = std::get_if<LeaseRenew>(&action))
+          deliver(client.RenewLease(*renew));
+      }
+    });
+  };
+  state_lane("renewal", &renewal_lane_, kRenewTimeoutS);
+  state_lane("watch", &watch_lane_, kWatchS + kWatchSlackS);
+  state_lane("list", &list_lane_, kStateTimeoutS);
+  for (int i = 0; i < kLeaderLaneThreads; ++i)
+    state_lane("writes", &leader_lane_, kStateTimeoutS);
+  for (int i = 0; i < kUserLaneThreads; ++i)
+    state_lane("users", &user_lane_, kStateTimeoutS);
+
+  const auto cloud_lane = [this, deliver](const char* name,
+                                          WaitQueue<Action>* queue) {
+    StartThread(name, [this, deliver, queue] {
+      CloudClient client(settings_.cloud_address, kCloudTimeoutS);
+      for (;;) {
+        const Action action = queue->Pop();
+        if (auto* catalog = std::get_if<CloudCatalog>(&action))
+          deliver(client.Catalog(*catalog));
+        else if (auto* list = std::get_if<CloudList>(&action))
+          deliver(client.List(*list));
+        else if (auto* rent = std::get_if<CloudRent>(&action))
+          deliver(client.Rent(*rent));
+        else if (auto* release = std::get_if<CloudRelease>(&action))
+          deliver(client.Release(*release));
+      }
+    });
+  };
+  cloud_lane("cloud-list", &cloud_list_lane_);
+  for (int i = 0; i < kCloudLaneThreads; ++i) cloud_lane("cloud", &cloud_lane_);
+
+  for (int i = 0; i < kDirectLaneThreads; ++i) {
+    StartThread("direct", [this, deliver] {
+      for (;;) {
+        const Action action = direct_lane_.Pop();
+        const auto* command = std::get_if<DirectCommand>(&action);
+        if (!command) continue;
+        HttpClient client(command->address, kDirectTimeoutS);
+        const HttpAnswer answer =
+            client.Post("/commands", wire::EncodeDirectCommand(*command));
+        DirectResult result;
+        result.id = command->id;
+        std::string error;
+        result.answered =
+            (answer.status == 200 || answer.status == 409) &&
+            wire::ParseReport(answer.body, &result.report, &error);
+        result.accepted = answer.status == 200;
+        deliver(std::move(result));
+      }
+    });
+  }
+  StartThread("mesh-accept", [this] { listener_->Run(); });
+  for (auto& sender : senders_)
+    StartThread("mesh-send", [&sender = *sender] { sender.Run(); });
+}
+
+// --- Requests -------------------------------------------------------------------
+
+App::Answer App::Ask(const std::function<Input(uint64_t)>& make) {
+  auto slot = std::make_shared<Slot>();
+  uint64_t request = 0;
+  {
+    std::lock_guard lock(slot_mutex_);
+    request = next_request_++;
+    slots_[request] = slot;
+  }
+  Post(make(request));
+  {
+    std::unique_lock lock(slot->mutex);
+    slot->ready.wait_for(lock, std::chrono::duration<double>(kCoreAnswerS),
+                         [&] { return slot->done; });
+  }
+  std::lock_guard lock(slot_mutex_);
+  slots_.erase(request);
+  if (!slot->done)
+    slot->answer = {503, wire::EncodeError("the controller is busy"), 1};
+  return slot->answer;
+}
+
+void App::Reply(uint64_t request, Answer answer) {
+  std::shared_ptr<Slot> slot;
+  {
+    std::lock_guard lock(slot_mutex_);
+    auto it = slots_.find(request);
+    if (it == slots_.end()) return;
+    slot = it->second;
+  }
+  std::lock_guard lock(slot->mutex);
+  slot->answer = std::move(answer);
+  slot->done = true;
+  slot->ready.notify_one();
+}
+
+HttpReply App::Handle(const HttpRequest& request) {
+  if (request.path == "/up") return {200, "{\"up\":true}"};
+  if (request.path == "/metrics")
+    return {200, metrics_.Text(), "text/plain; version=0.0.4"};
+  const double began = SteadyNow();
+  const bool worker = request.path == "/agent/beat";
+  HttpReply reply = worker ? HandleReport(request) : HandleUser(request);
+  metrics_.CountRequest(worker ? "worker" : "user", reply.status,
+                        SteadyNow() - began);
+  return reply;
+}
+
+HttpReply App::HandleReport(const HttpRequest& request) {
+  if (request.method != "POST") return Error(405, "use POST");
+  WorkerReport report;
+  std::string error;
+  if (!wire::ParseReport(request.body, &report, &error))
+    return Error(400, error);
+  Answer answer = Ask([&](uint64_t id) -> Input {
+    return [id, report = std::move(report)](Controller& c, Controller::Time t) {
+      return c.Report(t, id, report);
+    };
+  });
+  return {answer.status, std::move(answer.body)};
+}
+
+HttpReply App::HandleUser(const HttpRequest& request) {
+  static const std::string kRoot = "/submissions";
+  const std::string& path = request.path;
+  Answer answer;
+  if (path == kRoot) {
+    if (request.method != "POST") return Error(405, "use POST");
+    JobSpec spec;
+    std::string error;
+    if (!wire::ParseSubmission(request.body, &spec, &error))
+      return Error(400, error);
+    answer = Ask([&](uint64_t id) -> Input {
+      return [id, spec = std::move(spec)](Controller& c, Controller::Time t) {
+        return c.Submit(t, id, spec);
+      };
+    });
+  } else if (path.compare(0, kRoot.size() + 1, kRoot + "/") == 0) {
+    std::string job = path.substr(kRoot.size() + 1);
+    static const std::string kCancel = "/cancel";
+    const bool cancel =
+        job.size() > kCancel.size() &&
+        job.compare(job.size() - kCancel.size(), kCancel.size(), kCancel) == 0;
+    if (cancel) job.resize(job.size() - kCancel.size());
+    if (job.find('/') != std::string::npos) return Error(404, "no such path");
+    if (request.method != (cancel ? "POST" : "GET"))
+      return Error(405, cancel ? "use POST" : "use GET");
+    answer = Ask([&](uint64_t id) -> Input {
+      return [id, job, cancel](Controller& c, Controller::Time t) {
+        return cancel ? c.Cancel(t, id, job) : c.Poll(t, id, job);
+      };
+    });
+  } else {
+    return Error(404, "no such path");
+  }
+  return {answer.status, std::move(answer.body), "application/json",
+          answer.retry_after_s};
+}
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/app/metrics.cc
@@ -0,0 +1,58 @@
+#include "app/metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace sorrelwood {
+
+Metrics::Metrics()
+    : requests_(prometheus::BuildCounter()
+                    .Name("sorrelwood_requests_total")
+                    .Help("Requests answered, by kind and status")
+                    .Register(registry_)),
+      durations_(prometheus::BuildHistogram()
+                     .Name("sorrelwood_request_seconds")
+                     .Help("Time from reading a request to its answer")
+                     .Register(registry_)),
+      gauges_(prometheus::BuildGauge()
+                  .Name("sorrelwood_state")
+                  .Help("The controller's state; see docs/operations.md")
+                  .Register(registry_)) {}
+
+void Metrics::CountRequest(const std::string& kind, int status,
+                           double seconds) {
+  requests_.Add({{"kind", kind}, {"status", std::to_string(status)}})
+      .Increment();
+  static const prometheus::Histogram::BucketBoundaries kBuckets{
+      0.002, 0.01, 0.05, 0.2, 1, 4};
+  durations_.Add({{"kind", kind}}, kBuckets).Observe(seconds);
+}
+
+prometheus::Gauge& Metrics::Value(const char* name) {
+  return gauges_.Add({{"of", name}});
+}
+
+void Metrics::Publish(const Controller::Figures& f) {
+  Value("leading").Set(f.leading);
+  Value("may_launch").Set(f.may_launch);
+  Value("may_answer_workers").Set(f.may_answer);
+  Value("term").Set(static_cast<double>(f.term));
+  const Scheduler::Figures& s = f.scheduler;
+  Value("jobs").Set(static_cast<double>(s.jobs));
+  Value("tasks_pending").Set(static_cast<double>(s.pending));
+  Value("tasks_placed").Set(static_cast<double>(s.placed));
+  Value("machines").Set(static_cast<double>(s.machines));
+  Value("machines_base").Set(static_cast<double>(s.base_machines));
+  Value("machines_unaccounted").Set(s.unaccounted);
+  Value("base_target_cpus").Set(s.base_target_cpus);
+  Value("predictor_samples").Set(static_cast<double>(s.predictor_samples));
+  Value("predictor_error_seconds").Set(s.predictor_error_s);
+  Value("predictor_matthews").Set(s.predictor_matthews);
+  Value("speculative_kills").Set(static_cast<double>(s.speculative_kills));
+  Value("rented_to_the_end").Set(static_cast<double>(s.rented_to_end));
+}
+
+std::string Metrics::Text() const {
+  return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/cloud/cloud_client.cc
@@ -0,0 +1,75 @@
+#include "cloud/cloud_client.h"
+
+#include "wire/json.h"
+
+namespace sorrelwood {
+namespace {
+
+Outcome Judge(const HttpAnswer& answer) {
+  if (answer.status == 200) return Outcome::kOk;
+  if (answer.status >= 400 || answer.not_sent) return Outcome::kRefused;
+  return Outcome::kUnknown;
+}
+
+}  // namespace
+
+CloudClient::CloudClient(const std::string& address, double timeout_s)
+    : http_(address, timeout_s) {}
+
+CloudResult CloudClient::Catalog(const CloudCatalog& catalog) {
+  CloudResult result;
+  result.id = catalog.id;
+  const HttpAnswer answer = http_.Get("/catalog");
+  result.outcome = Judge(answer);
+  if (result.outcome == Outcome::kOk &&
+      !wire::ParseCatalog(answer.body, &result.types))
+    result.outcome = Outcome::kUnknown;
+  return result;
+}
+
+CloudResult CloudClient::Rent(const CloudRent& rent) {
+  CloudResult result;
+  result.id = rent.id;
+  const HttpAnswer answer = http_.Post("/hosts", wire::EncodeRent(rent.rent));
+  result.outcome = Judge(answer);
+  // "no capacity" and "trouble" share a status.
+  result.no_capacity = answer.status == 503 &&
+                       answer.body.find("no capacity") != std::string::npos;
+  if (result.outcome == Outcome::kOk &&
+      !wire::ParseMachineNames(answer.body, &result.machines))
+    result.outcome = Outcome::kUnknown;
+  return result;
+}
+
+CloudResult CloudClient::Release(const CloudRelease& release) {
+  CloudResult result;
+  result.id = release.id;
+  const HttpAnswer answer =
+      http_.Post("/hosts/release", wire::EncodeRelease(release.machines));
+  result.outcome = Judge(answer);
+  if (result.outcome == Outcome::kOk) result.machines = release.machines;
+  return result;
+}
+
+CloudResult CloudClient::List(const CloudList& list) {
+  CloudResult result;
+  result.id = list.id;
+  std::string after;
+  for (bool more = true; more;) {
+    std::string path = "/hosts?most=500";
+    if (!after.empty()) path += "&after=" + after;
+    const HttpAnswer answer = http_.Get(path);
+    result.outcome = Judge(answer);
+    if (result.outcome != Outcome::kOk) return result;
+    const size_t before = result.listed.size();
+    if (!wire::ParseMachineList(answer.body, &result.listed, &more)) {
+      result.outcome = Outcome::kUnknown;
+      return result;
+    }
+    if (result.listed.size() == before) break;
+    after = result.listed.back().name;
+  }
+  return result;
+}
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/config/settings.cc
@@ -0,0 +1,257 @@
+#include "config/settings.h"
+
+#include <google/protobuf/io/tokenizer.h>
+#include <google/protobuf/text_format.h>
+
+#include <cmath>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+
+#include "http/endpoint.h"
+#include "operator.pb.h"
+
+namespace sorrelwood {
+namespace {
+
+using nlohmann::json;
+
+bool ReadFile(const std::string& path, std::string* text, std::string* error) {
+  std::ifstream file(path);
+  if (!file) {
+    *error = path + ": can't be read";
+    return false;
+  }
+  std::ostringstream content;
+  content << file.rdbuf();
+  *text = content.str();
+  return true;
+}
+
+// Reads nested fields; the first thing that is wrong is kept.
+class Section {
+ public:
+  Section(const json* object, std::string name, std::string* error)
+      : object_(object), name_(std::move(name)), error_(error) {}
+
+  Section Sub(const char* name) const {
+    const json* found = Find(name);
+    if (!found || !found->is_object()) {
+      Wrong(name, "must be an object");
+      found = nullptr;
+    }
+    return Section(found, Path(name), error_);
+  }
+  std::string Text(const char* name) const {
+    const json* found = Find(name);
+    if (found && found->is_string() && !found->get<std::string>().empty())
+      return found->get<std::string>();
+    Wrong(name, "must be a string, not empty");
+    return "";
+  }
+  std::string Address(const char* name) const {
+    const std::string text = Text(name);
+    Endpoint endpoint;
+    if (!text.empty() && !ParseEndpoint(text, &endpoint))
+      Wrong(name, "must be an IPv4 address and a port");
+    return text;
+  }
+  // With a fallback the field may be missing.
+  double Number(const char* name, double least, double most,
+                const double* fallback = nullptr) const {
+    const json* found = Find(name);
+    if (!found && fallback) return *fallback;
+    if (found && found->is_number()) {
+      const double number = found->get<double>();
+      if (std::isfinite(number) && number >= least && number <= most)
+        return number;
+    }
+    std::ostringstream what;
+    what << "must be a number from " << least << " to " << most;
+    Wrong(name, what.str());
+    return least;
+  }
+  std::vector<Section> List(const char* name) const {
+    std::vector<Section> sections;
+    const json* found = Find(name);
+    if (!found) return sections;
+    if (!found->is_array()) {
+      Wrong(name, "must be a list");
+      return sections;
+    }
+    int index = 0;
+    for (const json& item : *found) {
+      const std::string path = Path(name) + "[" + std::to_string(index++) + "]";
+      if (!item.is_object() && error_->empty())
+        *error_ = path + ": must be an object";
+      sections.emplace_back(item.is_object() ? &item : nullptr, path, error_);
+    }
+    return sections;
+  }
+  void Wrong(const char* name, const std::string& what) const {
+    if (error_->empty()) *error_ = Path(name) + ": " + what;
+  }
+
+ private:
+  const json* Find(const char* name) const {
+    if (!object_) return nullptr;
+    auto it = object_->find(name);
+    return it == object_->end() || it->is_null() ? nullptr : &*it;
+  }
+  std::string Path(const char* name) const {
+    return name_.empty() ? name : name_ + "." + name;
+  }
+  const json* object_;
+  std::string name_;
+  std::string* error_;
+};
+
+constexpr double kMostSeconds = 1e7;
+constexpr double kMostCount = 1e9;
+
+class FirstError : public google::protobuf::io::ErrorCollector {
+ public:
+  void AddError(int line, google::protobuf::io::ColumnNumber column,
+                const std::string& message) override {
+    if (!text.empty()) return;
+    text = "line " + std::to_string(line + 1) + ", column " +
+           std::to_string(column + 1) + ": " + message;
+  }
+  std::string text;
+};
+
+}  // namespace
+
+bool ParseClusterSettings(const std::string& text, ClusterSettings* s,
+                          std::string* error) {
+  error->clear();
+  const json object = json::parse(text, nullptr, false);
+  if (!object.is_object()) {
+    *error = "not a JSON object";
+    return false;
+  }
+  const Section top(&object, "", error);
+  s->node = top.Text("node_name");
+  s->zone = top.Text("site");
+  s->listen = top.Address("serve_on");
+  s->mesh_listen = top.Address("mesh_addr");
+  std::set<std::string> names{s->node};
+  for (const Section& item : top.List("siblings")) {
+    Sibling sibling{item.Text("node_name"), item.Text("site"),
+                    item.Address("addr")};
+    if (!names.insert(sibling.name).second)
+      item.Wrong("node_name", "stands twice");
+    s->siblings.push_back(std::move(sibling));
+  }
+  const Section outside = top.Sub("outside");
+  s->cloud_address = outside.Address("cloud");
+  s->state_address = outside.Address("state");
+  const Section cluster = top.Sub("cluster");
+  std::set<std::string> teams;
+  const double none = 0;
+  for (const Section& item : cluster.List("teams")) {
+    Team team;
+    team.name = item.Text("name");
+    team.cpus = item.Number("cpus", 0, kMostCount);
+    team.cpus_max = item.Number("cpus_max", 0, kMostCount);
+    team.gpus = item.Number("gpus", 0, kMostCount, &none);
+    team.gpus_max = item.Number("gpus_max", 0, kMostCount, &none);
+    if (!teams.insert(team.name).second) item.Wrong("name", "stands twice");
+    s->teams.push_back(std::move(team));
+  }
+  for (const Section& item : cluster.List("objectives")) {
+    Objective objective;
+    objective.kind = item.Text("kind");
+    objective.within_s = item.Number("within_s", 0, kMostSeconds, &none);
+    s->objectives.push_back(std::move(objective));
+  }
+  const Section workers = cluster.Sub("workers");
+  s->report_s = workers.Number("report_s", 0.01, kMostSeconds);
+  s->lease_s = workers.Number("lease_s", 0.1, kMostSeconds);
+  s->cancel_s = workers.Number("cancel_s", 0.1, kMostSeconds);
+  const Section state = cluster.Sub("state");
+  s->state_rps = state.Number("rps", 0.1, kMostCount);
+  s->state_write_rps = state.Number("write_rps", 0.1, kMostCount);
+  s->state_value_kb = state.Number("value_kb", 0.1, kMostCount);
+  s->state_txn_ops = static_cast<int>(state.Number("txn_ops", 2, 1e6));
+  const Section cloud = cluster.Sub("cloud");
+  s->cloud_rps = cloud.Number("rps", 0.01, kMostCount);
+  s->list_lag_s = cloud.Number("list_lag_s", 0, kMostSeconds);
+  const Section limits = cluster.Sub("machine_limits");
+  s->sockets = static_cast<int>(limits.Number("sockets", 50, 1e6));
+  return error->empty();
+}
+
+bool LoadClusterSettings(const std::string& path, ClusterSettings* settings,
+                         std::string* error) {
+  std::string text;
+  if (!ReadFile(path, &text, error)) return false;
+  if (ParseClusterSettings(text, settings, error)) return true;
+  *error = path + ": " + *error;
+  return false;
+}
+
+bool ParseOperatorSettings(const std::string& text, PolicySettings* settings,
+                           std::string* error) {
+  error->clear();
+  config::OperatorSettings parsed;
+  google::protobuf::TextFormat::Parser parser;
+  FirstError first;
+  parser.RecordErrorsTo(&first);
+  if (!parser.ParseFromString(text, &parsed)) {
+    *error = first.text;
+    return false;
+  }
+  const auto check = [&](const char* field, double value, double least,
+                         double most) {
+    if ((value >= least && value <= most) || !error->empty()) return value;
+    std::ostringstream what;
+    what << field << ": must be from " << least << " to " << most;
+    *error = what.str();
+    return value;
+  };
+  const auto& waiting = parsed.waiting_policy();
+  if (waiting.has_speculation_s())
+    settings->speculation_s = check("waiting_policy.speculation_s",
+                                    waiting.speculation_s(), 1, kMostSeconds);
+  if (waiting.has_wait_limit_s())
+    settings->wait_limit_s = check("waiting_policy.wait_limit_s",
+                                   waiting.wait_limit_s(), 1, kMostSeconds);
+  if (waiting.has_refit_s())
+    settings->refit_s =
+        check("waiting_policy.refit_s", waiting.refit_s(), 1, kMostSeconds);
+  if (waiting.has_tree_depth())
+    settings->tree_depth = static_cast<int>(
+        check("waiting_policy.tree_depth", waiting.tree_depth(), 1, 12));
+  if (waiting.has_tree_leaf_samples())
+    settings->tree_leaf =
+        static_cast<int>(check("waiting_policy.tree_leaf_samples",
+                               waiting.tree_leaf_samples(), 1, 1000));
+  if (waiting.has_tree_count())
+    settings->tree_count = static_cast<int>(
+        check("waiting_policy.tree_count", waiting.tree_count(), 1, 50));
+  if (waiting.has_tree_samples())
+    settings->tree_samples = static_cast<int>(
+        check("waiting_policy.tree_samples", waiting.tree_samples(), 10, 20000));
+  const auto& fleet = parsed.fleet();
+  if (fleet.has_hold_s())
+    settings->hold_s = check("fleet.hold_s", fleet.hold_s(), 0, kMostSeconds);
+  if (fleet.has_drain_s())
+    settings->drain_s = check("fleet.drain_s", fleet.drain_s(), 1, kMostSeconds);
+  if (fleet.has_base_share())
+    settings->base_share = check("fleet.base_share", fleet.base_share(), 0, 10);
+  if (fleet.has_use_spot()) settings->use_spot = fleet.use_spot();
+  return error->empty();
+}
+
+bool LoadOperatorSettings(const std::string& path, PolicySettings* settings,
+                          std::string* error) {
+  std::string text;
+  if (!ReadFile(path, &text, error)) return false;
+  if (ParseOperatorSettings(text, settings, error)) return true;
+  *error = path + ": " + *error;
+  return false;
+}
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/config/settings.h
@@ -0,0 +1,21 @@
+// Reads and checks the platform's settings file (JSON) and the operators' own
+// (protobuf text format).
+#pragma once
+
+#include <string>
+
+#include "core/types.h"
+
+namespace sorrelwood {
+
+// Each returns false and says in one line which file and field is wrong.
+bool LoadClusterSettings(const std::string& path, ClusterSettings* settings,
+                         std::string* error);
+bool ParseClusterSettings(const std::string& text, ClusterSettings* settings,
+                          std::string* error);
+bool LoadOperatorSettings(const std::string& path, PolicySettings* settings,
+                          std::string* error);
+bool ParseOperatorSettings(const std::string& text, PolicySettings* settings,
+                           std::string* error);
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/actions.h
@@ -0,0 +1,155 @@
+// What the core asks the adapters to do. The core never does any of it itself.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/types.h"
+
+namespace sorrelwood {
+
+struct Guard {
+  std::string key;
+  uint64_t version = 0;
+};
+struct StateOp {
+  bool remove = false;
+  std::string key;
+  std::string value;   // JSON text
+  uint64_t lease = 0;  // 0: none
+};
+
+// Which connection carries a request: a slow one must not hold up another.
+enum class StateLane { kRenewal, kLeader, kUser };
+
+struct StateTransaction {
+  uint64_t id = 0;
+  StateLane lane = StateLane::kLeader;
+  std::vector<Guard> guards;
+  std::vector<StateOp> ops;
+};
+struct StateGet {
+  uint64_t id = 0;
+  StateLane lane = StateLane::kUser;
+  std::string key;
+};
+// Lists everything under a prefix, all pages.
+struct StateList {
+  uint64_t id = 0;
+  std::string prefix;
+};
+struct StateWatch {
+  uint64_t id = 0;
+  std::string prefix;
+  uint64_t after = 0;
+};
+struct LeaseCreate {
+  uint64_t id = 0;
+  double ttl_s = 0;
+};
+struct LeaseRenew {
+  uint64_t id = 0;
+  uint64_t lease = 0;
+};
+struct LeaseEnd {
+  uint64_t id = 0;
+  uint64_t lease = 0;
+};
+
+struct CloudCatalog {
+  uint64_t id = 0;
+};
+struct CloudRent {
+  uint64_t id = 0;
+  RentRecord rent;
+};
+struct CloudRelease {
+  uint64_t id = 0;
+  std::vector<std::string> machines;
+};
+struct CloudList {
+  uint64_t id = 0;
+};
+
+struct DirectCommand {
+  uint64_t id = 0;
+  std::string machine, address;
+  uint64_t token = 0, session = 0;
+  std::vector<Command> commands;
+};
+
+struct AnswerUser {
+  uint64_t request = 0;
+  int status = 200;
+  std::string body;
+  double retry_after_s = 0;
+};
+struct AnswerWorker {
+  uint64_t request = 0;
+  int status = 200;  // 200, 421 or 503
+  uint64_t token = 0;
+  std::vector<Command> commands;
+  std::string redirect;  // with 421: node name, may be empty
+};
+
+struct MeshSend {
+  MeshNote note;
+};
+
+struct LogLine {
+  enum Level { kDebug, kInfo, kError } level = kInfo;
+  std::string text;
+};
+
+using Action =
+    std::variant<StateTransaction, StateGet, StateList, StateWatch, LeaseCreate,
+                 LeaseRenew, LeaseEnd, CloudCatalog, CloudRent, CloudRelease,
+                 CloudList, DirectCommand, AnswerUser, AnswerWorker, MeshSend,
+                 LogLine>;
+using Actions = std::vector<Action>;
+
+// --- What comes back -----------------------------------------------------------
+
+enum class Outcome {
+  kOk,
+  kConflict,  // a guard did not hold (409), or not found (404)
+  kRefused,   // certainly not carried out
+  kUnknown,   // may have been carried out, or may still be
+};
+
+struct KeyValue {
+  std::string key;
+  std::string value;
+  uint64_t version = 0;
+  bool removed = false;
+};
+
+struct StateResult {
+  uint64_t id = 0;
+  Outcome outcome = Outcome::kUnknown;
+  uint64_t revision = 0;
+  std::vector<std::string> failed;  // guards that did not hold
+  std::vector<KeyValue> items;      // get, list, watch
+  uint64_t lease = 0;
+  bool too_old = false;  // watch: read the keys again
+};
+
+struct CloudResult {
+  uint64_t id = 0;
+  Outcome outcome = Outcome::kUnknown;
+  bool no_capacity = false;
+  std::vector<MachineType> types;
+  std::vector<std::string> machines;
+  std::vector<ListedMachine> listed;
+};
+
+struct DirectResult {
+  uint64_t id = 0;
+  bool answered = false;
+  bool accepted = false;  // 200
+  WorkerReport report;
+};
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/constants.h
@@ -0,0 +1,134 @@
+// Every tuning constant of sorrelwood, with its unit and its reason. Figures of
+// a cluster (machine types, leases, rates) never stand here: they come from the
+// settings file and the cloud's catalogue.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace sorrelwood {
+
+// --- Clocks -----------------------------------------------------------------
+// Steady clocks drift by up to 0.05 % each; two of them, doubled for safety.
+inline constexpr double kClockDrift = 0.002;
+
+// --- Leadership (seconds) ----------------------------------------------------
+// Long enough to ride out a slow answer of the state service, short enough that
+// a takeover ends well within the workers' lease.
+inline constexpr double kLeaderLeaseS = 4.0;
+inline constexpr double kRenewEveryS = 0.9;
+// No launch leaves when less than this is left of the leader's lease.
+inline constexpr double kLeaseMarginS = 0.6;
+// Pause between two tries for the leader key.
+inline constexpr double kElectionRetryS = 0.4;
+// Margin by which report answers stop before the reach that a successor counts
+// on ends; covers a slow thread and the network.
+inline constexpr double kReachMarginS = 2.0;
+// A worker drops answers that take longer than this (protocol).
+inline constexpr double kReportAnswerS = 4.0;
+
+// --- State service -------------------------------------------------------------
+// Wait for one answer (s). A few hundred milliseconds are usual now and then.
+inline constexpr double kStateTimeoutS = 2.0;
+inline constexpr double kRenewTimeoutS = 1.2;
+// One watch; short, so that a dead connection is noticed.
+inline constexpr double kWatchS = 2.0;
+inline constexpr double kWatchSlackS = 3.0;
+// Polls that wait for a check with the state service share one transaction; the
+// first one waits at most this long (s).
+inline constexpr double kCheckBatchS = 0.08;
+// Finished tasks are collected for this long before they are written (s).
+inline constexpr double kFinishBatchS = 0.25;
+// Share of the state service's write rate that one leader uses.
+inline constexpr double kWriteShare = 0.5;
+// Tasks whose completion one key holds: 16,384 bits are 4 KiB as hexadecimal.
+inline constexpr uint32_t kTasksPerProgressKey = 16384;
+// Items that one listing asks for.
+inline constexpr int kListPage = 200;
+
+// --- Users -----------------------------------------------------------------------
+// The user gives up after 5 s (submit) or 2 s (poll): answer 503 before that.
+inline constexpr double kSubmitAnswerS = 3.5;
+inline constexpr double kPollAnswerS = 1.5;
+// Requests that may wait for the state service at once; further ones get 503.
+inline constexpr size_t kMaxWaitingRequests = 200;
+// Final states kept in memory; older ones are read again when asked for.
+inline constexpr size_t kFinalCache = 20000;
+inline constexpr uint32_t kMaxTasks = 100000;
+inline constexpr size_t kMaxBody = 64 * 1024;
+inline constexpr size_t kMaxIdLength = 100;
+
+// --- Workers ---------------------------------------------------------------------
+// A machine is called silent after this many report intervals.
+inline constexpr double kSilentReports = 4.5;
+// At most this share of the machines is released early for silence: beyond it
+// the fault is more likely the leader's own network.
+inline constexpr double kEarlyReleaseShare = 0.34;
+// Extra silence (s) after a lease has run out before the machine is returned.
+inline constexpr double kLostReturnS = 3.0;
+// A silent machine is shown the token directly this often (s).
+inline constexpr double kPushEveryS = 1.0;
+// Wait for the answer to a direct command (s).
+inline constexpr double kDirectTimeoutS = 1.5;
+// Time that a new leader gives its machines to report before it lets the
+// silent ones go (s).
+inline constexpr double kTakeoverGraceS = 5.0;
+// A launch that is not in the reports is sent again after this many seconds.
+inline constexpr double kLaunchLostS = 5.0;
+// Errors in a row, without a completion, that set a machine aside.
+inline constexpr int kSickErrors = 2;
+// Machines on which a job fails before the job is held to be at fault.
+inline constexpr int kBadJobMachines = 3;
+// First and longest pause of a job whose tasks fail (s).
+inline constexpr double kErrorPauseS = 2.0;
+inline constexpr double kErrorPauseMaxS = 60.0;
+// A machine that refused a task for want of room is left alone this long (s).
+inline constexpr double kRefusedPauseS = 3.0;
+
+// --- Placement ---------------------------------------------------------------------
+// How often queued work is matched with machines (s).
+inline constexpr double kPlaceEveryS = 0.1;
+// Jobs from the front of the queue that one pass looks at.
+inline constexpr size_t kFrontJobs = 64;
+// Above this many machines a pass looks at a sample of them.
+inline constexpr size_t kSampleMachines = 64;
+
+// --- Cloud ------------------------------------------------------------------------
+inline constexpr double kCloudTimeoutS = 5.0;
+// Share of the cloud's call rate that is used.
+inline constexpr double kCloudRateShare = 0.8;
+inline constexpr double kListEveryS = 4.0;
+inline constexpr double kCatalogEveryS = 60.0;
+// Pause before an offer that was refused is asked for again (s).
+inline constexpr double kRefusedOfferS = 12.0;
+// The same after a 429 or an outage of the cloud (s).
+inline constexpr double kCloudTroubleS = 3.0;
+// A machine that takes this many times its boot time is given up.
+inline constexpr double kBootPatience = 2.5;
+inline constexpr double kBootPatienceMinS = 30.0;
+inline constexpr int kMaxPerRent = 50;
+inline constexpr size_t kMaxPerRelease = 100;
+
+// --- Threads ----------------------------------------------------------------------
+// Stack of a connection's thread (bytes): the library's buffers take 20 KiB.
+inline constexpr size_t kConnectionStack = 192 * 1024;
+// Stack of every other thread (bytes).
+inline constexpr size_t kThreadStack = 256 * 1024;
+// Threads, each with a connection of its own. Enough that one slow answer does
+// not hold up the next request of its kind.
+inline constexpr int kLeaderLaneThreads = 3;
+inline constexpr int kUserLaneThreads = 4;
+inline constexpr int kCloudLaneThreads = 3;
+inline constexpr int kDirectLaneThreads = 6;
+// The core's clock: how often it is woken without an input (s).
+inline constexpr double kTickS = 0.04;
+// A connection's thread waits this long for the core (s): less than a worker's
+// 4 s and a user's 5 s.
+inline constexpr double kCoreAnswerS = 3.8;
+inline constexpr size_t kMaxConnections = 350;
+inline constexpr double kIdleConnectionS = 75.0;
+inline constexpr double kReadTimeoutS = 5.0;
+inline constexpr int kListenBacklog = 256;
+inline constexpr int kMallocArenas = 2;
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/context.h
@@ -0,0 +1,113 @@
+// What every part of the core shares while it handles one input: the time, the
+// random numbers, the actions to return, and who waits for which result.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/actions.h"
+
+namespace sorrelwood {
+
+using StateCallback = std::function<void(const StateResult&)>;
+using CloudCallback = std::function<void(const CloudResult&)>;
+using DirectCallback = std::function<void(const DirectResult&)>;
+
+class Context {
+ public:
+  explicit Context(uint64_t seed) : rng(seed) {}
+
+  double now = 0;   // steady clock, s
+  double wall = 0;  // time of day, s
+  std::mt19937_64 rng;
+  Actions out;
+
+  void Transact(StateLane lane, std::vector<Guard> guards,
+                std::vector<StateOp> ops, StateCallback done) {
+    out.push_back(StateTransaction{Expect(std::move(done)), lane,
+                                   std::move(guards), std::move(ops)});
+  }
+  void Get(StateLane lane, std::string key, StateCallback done) {
+    out.push_back(StateGet{Expect(std::move(done)), lane, std::move(key)});
+  }
+  void List(std::string prefix, StateCallback done) {
+    out.push_back(StateList{Expect(std::move(done)), std::move(prefix)});
+  }
+  void Watch(std::string prefix, uint64_t after, StateCallback done) {
+    out.push_back(
+        StateWatch{Expect(std::move(done)), std::move(prefix), after});
+  }
+  void CreateLease(double ttl_s, StateCallback done) {
+    out.push_back(LeaseCreate{Expect(std::move(done)), ttl_s});
+  }
+  void RenewLease(uint64_t lease, StateCallback done) {
+    out.push_back(LeaseRenew{Expect(std::move(done)), lease});
+  }
+  void Catalog(CloudCallback done) {
+    out.push_back(CloudCatalog{ExpectCloud(std::move(done))});
+  }
+  void Rent(RentRecord rent, CloudCallback done) {
+    out.push_back(CloudRent{ExpectCloud(std::move(done)), std::move(rent)});
+  }
+  void Release(std::vector<std::string> machines, CloudCallback done) {
+    out.push_back(
+        CloudRelease{ExpectCloud(std::move(done)), std::move(machines)});
+  }
+  void ListMachines(CloudCallback done) {
+    out.push_back(CloudList{ExpectCloud(std::move(done))});
+  }
+  void Direct(DirectCommand command, DirectCallback done) {
+    command.id = next_id_++;
+    direct_[command.id] = std::move(done);
+    out.push_back(std::move(command));
+  }
+
+  void Debug(std::string text) {
+    out.push_back(LogLine{LogLine::kDebug, std::move(text)});
+  }
+  void Info(std::string text) {
+    out.push_back(LogLine{LogLine::kInfo, std::move(text)});
+  }
+  void Error(std::string text) {
+    out.push_back(LogLine{LogLine::kError, std::move(text)});
+  }
+
+  void Deliver(const StateResult& result) { Call(state_, result); }
+  void Deliver(const CloudResult& result) { Call(cloud_, result); }
+  void Deliver(const DirectResult& result) { Call(direct_, result); }
+
+  // Uniform in [0, 1).
+  double Random() {
+    return std::uniform_real_distribution<double>(0.0, 1.0)(rng);
+  }
+
+ private:
+  uint64_t Expect(StateCallback done) {
+    state_[next_id_] = std::move(done);
+    return next_id_++;
+  }
+  uint64_t ExpectCloud(CloudCallback done) {
+    cloud_[next_id_] = std::move(done);
+    return next_id_++;
+  }
+  // A repeated result finds nobody waiting and does nothing.
+  template <typename Callbacks, typename Result>
+  void Call(Callbacks& callbacks, const Result& result) {
+    auto it = callbacks.find(result.id);
+    if (it == callbacks.end()) return;
+    auto callback = std::move(it->second);
+    callbacks.erase(it);
+    callback(result);
+  }
+
+  uint64_t next_id_ = 1;
+  std::map<uint64_t, StateCallback> state_;
+  std::map<uint64_t, CloudCallback> cloud_;
+  std::map<uint64_t, DirectCallback> direct_;
+};
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/controller.h
@@ -0,0 +1,66 @@
+// The core of one controller: a state machine without clock, socket, thread or
+// log. Every input brings the time; what is to be done comes back as actions.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/context.h"
+#include "core/directory.h"
+#include "core/front_desk.h"
+#include "core/leadership.h"
+#include "core/scheduler.h"
+
+namespace sorrelwood {
+
+class Controller {
+ public:
+  // `incarnation` differs between processes of the same node; it also seeds the
+  // random numbers.
+  Controller(const ClusterSettings& settings, const PolicySettings& policy,
+             uint64_t incarnation);
+
+  struct Time {
+    double steady = 0, wall = 0;
+  };
+
+  Actions Tick(Time time);
+  Actions Submit(Time time, uint64_t request, const JobSpec& spec);
+  Actions Poll(Time time, uint64_t request, const std::string& job);
+  Actions Cancel(Time time, uint64_t request, const std::string& job);
+  Actions Report(Time time, uint64_t request, const WorkerReport& report);
+  Actions Deliver(Time time, const StateResult& result);
+  Actions Deliver(Time time, const CloudResult& result);
+  Actions Deliver(Time time, const DirectResult& result);
+  Actions Note(Time time, const MeshNote& note);
+
+  struct Figures {
+    bool leading = false, may_launch = false, may_answer = false;
+    uint64_t term = 0;
+    Scheduler::Figures scheduler;
+  };
+  Figures Measure();
+
+ private:
+  void Begin(Time time);
+  Actions End();
+  void ReadCatalog();
+  void SendNote();
+
+  const ClusterSettings settings_;
+  Context context_;
+  Directory directory_;
+  Leadership leadership_;
+  FrontDesk front_desk_;
+  Scheduler scheduler_;
+  uint64_t incarnation_;
+
+  bool catalog_known_ = false, reading_catalog_ = false;
+  double next_catalog_ = 0, next_note_ = 0;
+  uint64_t notes_ = 0;
+  std::map<std::string, JobCounts> told_counts_;
+};
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/directory.cc
@@ -0,0 +1,171 @@
+#include "core/directory.h"
+
+#include <algorithm>
+
+#include "core/constants.h"
+#include "core/keys.h"
+#include "wire/json.h"
+
+namespace sorrelwood {
+
+void Directory::Tick() {
+  if (busy_ || context_->now < retry_at_) return;
+  if (!loaded_)
+    Load();
+  else
+    Watch();
+}
+
+void Directory::Load() {
+  busy_ = true;
+  const double sent = context_->now;
+  context_->List(keys::kLive, [this, sent](const StateResult& result) {
+    if (result.outcome != Outcome::kOk) {
+      busy_ = false;
+      retry_at_ = context_->now + 0.3;
+      return;
+    }
+    LearnListing(result);
+    // Watching from the listing's revision brings everything later, the
+    // leader key included once it is read after it.
+    const uint64_t revision = result.revision;
+    context_->Get(
+        StateLane::kLeader, keys::kLeader,
+        [this, sent, revision](const StateResult& got) {
+          busy_ = false;
+          if (got.outcome == Outcome::kOk && !got.items.empty()) {
+            LeaderRecord leader;
+            if (wire::ParseLeader(got.items[0].value, &leader))
+              LearnLeader(got.items[0].version, leader, got.items[0].version);
+          } else if (got.outcome == Outcome::kConflict) {
+            LearnLeader(0, LeaderRecord(), revision);
+          } else {
+            retry_at_ = context_->now + 0.3;
+            return;
+          }
+          revision_ = revision;
+          loaded_ = true;
+          synced_at_ = std::max(synced_at_, sent);
+          Watch();
+        });
+  });
+}
+
+void Directory::Watch() {
+  busy_ = true;
+  const double sent = context_->now;
+  context_->Watch(
+      keys::kWatched, revision_, [this, sent](const StateResult& result) {
+        busy_ = false;
+        if (result.outcome != Outcome::kOk) {
+          retry_at_ = context_->now + 0.2;
+          return;
+        }
+        if (result.too_old) {
+          loaded_ = false;
+          return;
+        }
+        for (const KeyValue& change : result.items) Apply(change);
+        revision_ = std::max(revision_, result.revision);
+        synced_at_ = std::max(synced_at_, sent);
+        if (!busy_) Watch();
+      });
+}
+
+void Directory::Apply(const KeyValue& change) {
+  if (change.key == keys::kLeader) {
+    LeaderRecord leader;
+    if (change.removed)
+      LearnLeader(0, leader, change.version);
+    else if (wire::ParseLeader(change.value, &leader))
+      LearnLeader(change.version, leader, change.version);
+    return;
+  }
+  if (const std::string id = keys::After(change.key, keys::kLive);
+      !id.empty()) {
+    if (!change.removed) LearnLive(id, change.version, change.value);
+    return;  // a removal comes with the final key, in the same transaction
+  }
+  if (const std::string id = keys::After(change.key, keys::kFinal);
+      !id.empty() && !change.removed) {
+    FinalState state;
+    if (wire::ParseFinal(change.value, &state)) LearnFinal(id, state);
+  }
+}
+
+KnownJob* Directory::FindLive(const std::string& id) {
+  auto it = live_.find(id);
+  return it == live_.end() ? nullptr : &it->second;
+}
+
+std::optional<FinalState> Directory::FindFinal(const std::string& id) const {
+  auto it = final_.find(id);
+  if (it == final_.end()) return std::nullopt;
+  return it->second;
+}
+
+void Directory::LearnLive(const std::string& id, uint64_t version,
+                          const std::string& value) {
+  auto known = live_.find(id);
+  if (known != live_.end() && known->second.version >= version) return;
+  auto job = std::make_shared<LiveJob>();
+  if (!wire::ParseLiveJob(value, job.get()) || job->spec.id != id) {
+    context_->Error("job record " + id + " can't be read");
+    return;
+  }
+  LearnLive(id, version, std::move(job));
+}
+
+void Directory::LearnLive(const std::string& id, uint64_t version,
+                          std::shared_ptr<const LiveJob> job) {
+  if (final_.count(id)) return;  // late news: the job has ended
+  KnownJob& known = live_[id];
+  if (known.version >= version) return;
+  known.version = version;
+  known.job = std::move(job);
+  known.counts.id = id;
+  if (on_live) on_live(id);
+}
+
+void Directory::LearnFinal(const std::string& id, FinalState state) {
+  if (!final_.emplace(id, state).second) return;
+  final_order_.push_back(id);
+  if (final_order_.size() > kFinalCache) {
+    final_.erase(final_order_.front());
+    final_order_.pop_front();
+  }
+  live_.erase(id);
+  if (on_final) on_final(id, state);
+}
+
+void Directory::LearnListing(const StateResult& listing) {
+  std::map<std::string, bool> present;
+  for (const KeyValue& item : listing.items) {
+    const std::string id = keys::After(item.key, keys::kLive);
+    present[id] = true;
+    LearnLive(id, item.version, item.value);
+  }
+  // What we hold from before the listing and it lacks has ended; how, is read
+  // from its final key.
+  for (const auto& [id, known] : live_) {
+    if (present.count(id) || known.version > listing.revision) continue;
+    context_->Get(StateLane::kLeader, keys::Final(id),
+                  [this, id = id](const StateResult& got) {
+                    FinalState state;
+                    if (got.outcome == Outcome::kOk && !got.items.empty() &&
+                        wire::ParseFinal(got.items[0].value, &state))
+                      LearnFinal(id, state);
+                  });
+  }
+}
+
+void Directory::LearnLeader(uint64_t version, const LeaderRecord& leader,
+                            uint64_t revision) {
+  if (leader_known_ && revision < leader_revision_) return;
+  leader_known_ = true;
+  leader_version_ = version;
+  leader_revision_ = revision;
+  leader_ = leader;
+}
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/directory.h
@@ -0,0 +1,78 @@
+// Every controller's copy of the jobs and of the leader key, kept by a watch.
+// A job moves once, from live to final, and never back: whatever order the
+// news come in, a final state is not undone.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "core/context.h"
+
+namespace sorrelwood {
+
+struct KnownJob {
+  uint64_t version = 0;
+  std::shared_ptr<const LiveJob> job;
+  JobCounts counts;  // for display, from the leader's notes
+};
+
+class Directory {
+ public:
+  explicit Directory(Context* context) : context_(context) {}
+
+  void Tick();
+
+  bool loaded() const { return loaded_; }
+  // A moment by which every earlier change is known here.
+  double synced_at() const { return synced_at_; }
+
+  KnownJob* FindLive(const std::string& id);
+  std::optional<FinalState> FindFinal(const std::string& id) const;
+  const std::map<std::string, KnownJob>& live() const { return live_; }
+
+  void LearnLive(const std::string& id, uint64_t version,
+                 const std::string& value);
+  void LearnLive(const std::string& id, uint64_t version,
+                 std::shared_ptr<const LiveJob> job);
+  void LearnFinal(const std::string& id, FinalState state);
+  // Takes a listing of the live keys that is of `revision` or later.
+  void LearnListing(const StateResult& listing);
+
+  // The leader key as last seen: version 0 when it is absent.
+  bool leader_known() const { return leader_known_; }
+  uint64_t leader_version() const { return leader_version_; }
+  const LeaderRecord& leader() const { return leader_; }
+  // Told by whoever changed the leader key or read it.
+  void LearnLeader(uint64_t version, const LeaderRecord& leader,
+                   uint64_t revision);
+
+  // Called for each job that is new or that ends.
+  std::function<void(const std::string& id)> on_live;
+  std::function<void(const std::string& id, FinalState)> on_final;
+
+ private:
+  void Load();
+  void Watch();
+  void Apply(const KeyValue& change);
+
+  Context* context_;
+  std::map<std::string, KnownJob> live_;
+  std::unordered_map<std::string, FinalState> final_;
+  std::deque<std::string> final_order_;
+  bool loaded_ = false;
+  bool busy_ = false;  // a listing or a watch is under way
+  double retry_at_ = 0;
+  uint64_t revision_ = 0;
+  double synced_at_ = -1e9;
+  bool leader_known_ = false;
+  uint64_t leader_version_ = 0;
+  uint64_t leader_revision_ = 0;  // news older than this are not applied
+  LeaderRecord leader_;
+};
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/fleet.cc
@@ -0,0 +1,431 @@
+#include "core/fleet.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "core/constants.h"
+#include "core/keys.h"
+#include "wire/json.h"
+
+namespace sorrelwood {
+
+void Fleet::LearnCatalog(const std::vector<MachineType>& types) {
+  // Entries stay where they are: machines point to them.
+  for (const MachineType& type : types) types_[type.name] = type;
+  for (auto& [name, machine] : machines_->all())
+    if (!machine->type) machine->type = FindType(machine->type_name);
+}
+
+const MachineType* Fleet::FindType(const std::string& name) const {
+  auto it = types_.find(name);
+  return it == types_.end() ? nullptr : &it->second;
+}
+
+void Fleet::Load(uint64_t term, const std::vector<RentRecord>& rents) {
+  term_ = term;
+  next_rent_ = 0;
+  for (const RentRecord& record : rents) {
+    OpenRent rent;
+    rent.record = record;
+    rent.recorded = true;
+    rent.began = context_->now;
+    for (const std::string& name : record.machines) {
+      if (machines_->Find(name)) continue;  // has a record of its own
+      Machine* machine = machines_->Add(name);
+      machine->type_name = record.type;
+      machine->type = FindType(record.type);
+      machine->zone = record.zone;
+      machine->spot = record.spot;
+      machine->rented_at = context_->now;
+      rent.unsettled.insert(name);
+    }
+    rents_[record.name] = std::move(rent);
+  }
+  double guaranteed = 0;
+  for (const Team& team : settings_->teams) guaranteed += team.cpus;
+  base_target_ = guaranteed * policy_.base_share;
+}
+
+void Fleet::Clear() {
+  ++generation_;
+  rents_.clear();
+  returning_.clear();
+  refused_until_.clear();
+  return_in_flight_ = false;
+  listing_ = false;
+  next_list_ = 0;
+}
+
+bool Fleet::TakeCall() {
+  const double rate = settings_->cloud_rps * kCloudRateShare;
+  calls_ = std::min(rate, calls_ + (context_->now - calls_at_) * rate);
+  calls_at_ = context_->now;
+  if (calls_ < 1) return false;
+  calls_ -= 1;
+  return true;
+}
+
+void Fleet::Tick() {
+  if (types_.empty()) return;
+  SendReturns();
+  for (auto& [name, rent] : rents_)
+    if (rent.recorded && !rent.record.answered && !rent.calling &&
+        context_->now >= rent.next_call && TakeCall())
+      CallRent(name);
+  if (!listing_ && context_->now >= next_list_ && TakeCall()) ReadList();
+  if (context_->now >= next_plan_) {
+    next_plan_ = context_->now + 1;
+    ChooseBase();
+    ReturnIdle();
+    Plan();
+  }
+}
+
+// --- Returning -------------------------------------------------------------------
+
+void Fleet::Return(Machine* machine, const std::string& why) {
+  if (machine->releasing) return;
+  machine->releasing = true;
+  returning_.insert(machine->name);
+  context_->Info("returning " + machine->name + ": " + why);
+}
+
+void Fleet::SendReturns() {
+  if (returning_.empty() || return_in_flight_ || !TakeCall()) return;
+  std::vector<std::string> names;
+  for (const std::string& name : returning_) {
+    if (names.size() >= kMaxPerRelease) break;
+    names.push_back(name);
+  }
+  return_in_flight_ = true;
+  context_->Release(
+      names, [this, names, generation = generation_](const CloudResult& result) {
+        if (generation != generation_) return;
+        return_in_flight_ = false;
+        if (result.outcome != Outcome::kOk) return;  // sent again
+        for (const std::string& name : names) {
+          returning_.erase(name);
+          Machine* machine = machines_->Find(name);
+          if (!machine) continue;
+          if (machine->recorded || machine->recording)
+            writer_->Remove(keys::Machine(name));
+          if (on_gone) on_gone(machine);
+          machines_->Remove(name);
+          Settled(name);
+        }
+      });
+}
+
+void Fleet::ReturnIdle() {
+  for (auto& [name, machine] : machines_->all()) {
+    Machine* m = machine.get();
+    if (m->releasing || !m->type) continue;
+    if (!m->ever_reported) {
+      const double patience =
+          std::max(kBootPatienceMinS, m->type->boot_s * kBootPatience);
+      if (!m->inherited && context_->now - m->rented_at > patience)
+        Return(m, "it has not come up");
+      continue;
+    }
+    if (!m->tasks.empty() || !m->finished.empty() || !m->heard) {
+      m->idle_since = 0;
+      continue;
+    }
+    if (m->set_aside) {
+      Return(m, "it is faulty");
+      continue;
+    }
+    if (m->notice_until > 0) {
+      Return(m, "the cloud takes it back");
+      continue;
+    }
+    if (m->idle_since == 0) m->idle_since = context_->now;
+    if (!m->base && context_->now - m->idle_since > policy_.hold_s)
+      Return(m, "idle");
+  }
+}
+
+// --- The list ----------------------------------------------------------------------
+
+void Fleet::ReadList() {
+  listing_ = true;
+  next_list_ = context_->now + kListEveryS;
+  context_->ListMachines(
+      [this, generation = generation_](const CloudResult& result) {
+        if (generation != generation_) return;
+        listing_ = false;
+        if (result.outcome == Outcome::kOk) LearnList(result.listed);
+      });
+}
+
+void Fleet::LearnList(const std::vector<ListedMachine>& listed) {
+  std::set<std::string> present;
+  for (const ListedMachine& item : listed) {
+    present.insert(item.name);
+    if (machines_->Gone(item.name)) continue;  // the list lags
+    Machine* machine = machines_->Find(item.name);
+    if (!machine) {
+      // A rental that was carried out late: used like any other machine.
+      machine = machines_->Add(item.name);
+      machine->type_name = item.type;
+      machine->type = FindType(item.type);
+      machine->zone = item.zone;
+      machine->spot = item.spot;
+      machine->rented_at = context_->now - item.age_s;
+    }
+    machine->listed = true;
+    machine->missing_since = 0;
+    if (machine->address.empty()) machine->address = item.address;
+    if (item.status == MachineStatus::kFailed) Return(machine, "it failed");
+  }
+  // One that was listed and no longer is has been taken. Returning it is the
+  // proof; a list alone is none.
+  const double lag = 2 * settings_->list_lag_s + kListEveryS;
+  for (auto& [name, machine] : machines_->all()) {
+    if (present.count(name) || !machine->listed || machine->releasing) continue;
+    if (machine->missing_since == 0) machine->missing_since = context_->now;
+    if (context_->now - machine->missing_since > lag &&
+        context_->now - machine->last_heard >
+            kSilentReports * settings_->report_s)
+      Return(machine.get(), "it is no longer listed");
+  }
+}
+
+// --- Renting -----------------------------------------------------------------------
+
+std::vector<Fleet::Offer> Fleet::Offers() const {
+  std::vector<Offer> offers;
+  for (const auto& [name, type] : types_) {
+    for (const std::string& zone : type.zones) {
+      for (const bool spot : {true, false}) {
+        if (spot && !policy_.use_spot) continue;
+        Offer offer{&type, zone, spot, spot ? type.spot_price : type.price};
+        auto refused = refused_until_.find(offer.Key());
+        if (refused != refused_until_.end() && context_->now < refused->second)
+          continue;
+        offers.push_back(offer);
+      }
+    }
+  }
+  return offers;
+}
+
+bool Fleet::JobAllows(const JobSpec& spec, const MachineType& type,
+                      const std::string& zone, bool spot) const {
+  if (spot && !spec.spot) return false;
+  if (!spec.zone.empty() && spec.zone != zone) return false;
+  if (!spec.types.empty() && std::find(spec.types.begin(), spec.types.end(),
+                                       type.name) == spec.types.end())
+    return false;
+  return spec.cpus <= type.cpus && spec.gpus <= type.gpus &&
+         spec.memory_gb <= type.memory_gb;
+}
+
+// What a task takes of a machine, its scarcest share counted as cores.
+double Fleet::CoreSeconds(const JobSpec& spec, const MachineType& type) const {
+  double share = spec.cpus / type.cpus;
+  if (type.memory_gb > 0)
+    share = std::max(share, spec.memory_gb / type.memory_gb);
+  if (type.gpus > 0) share = std::max(share, spec.gpus / type.gpus);
+  return share * type.cpus * std::clamp(spec.estimate_s, 1.0, policy_.drain_s);
+}
+
+void Fleet::PlanJob(const Job& job, double* team_cpus_left,
+                    std::vector<Room>* rooms,
+                    std::map<std::string, int>* wanted) {
+  const JobSpec& spec = job.spec();
+  double count = job.pending.size() - static_cast<double>(job.waiting.size());
+  count = std::min(count, std::floor(*team_cpus_left / spec.cpus + 1e-6));
+  if (count < 1) return;
+  *team_cpus_left -= count * spec.cpus;
+  for (Room& room : *rooms) {
+    if (count < 1) return;
+    if (!JobAllows(spec, *room.type, room.zone, room.spot)) continue;
+    const double each = CoreSeconds(spec, *room.type);
+    const double fit = std::min(count, std::floor(room.core_seconds / each));
+    if (fit < 1) continue;
+    room.core_seconds -= fit * each;
+    count -= fit;
+  }
+  const std::vector<Offer> offers = Offers();
+  while (count >= 1) {
+    const Offer* best = nullptr;
+    double best_cost = 0;
+    for (const Offer& offer : offers) {
+      if (!JobAllows(spec, *offer.type, offer.zone, offer.spot)) continue;
+      const double fit = std::max(
+          1.0, std::floor(offer.type->cpus * policy_.drain_s /
+                          CoreSeconds(spec, *offer.type)));
+      const double cost = offer.price / std::min(fit, count);
+      if (best && cost >= best_cost) continue;
+      best = &offer;
+      best_cost = cost;
+    }
+    if (!best) return;
+    const double each = CoreSeconds(spec, *best->type);
+    Room room{best->type, best->zone, best->spot,
+              best->type->cpus * policy_.drain_s};
+    const double fit =
+        std::min(count, std::max(1.0, std::floor(room.core_seconds / each)));
+    room.core_seconds -= fit * each;
+    count -= fit;
+    rooms->push_back(room);
+    ++(*wanted)[best->Key()];
+  }
+}
+
+void Fleet::Plan() {
+  std::vector<Room> rooms;
+  double cpus = 0;
+  for (auto& [name, machine] : machines_->all()) {
+    if (!machine->type || machine->releasing || machine->set_aside ||
+        machine->notice_until > 0)
+      continue;
+    cpus += machine->type->cpus;
+    Room room{machine->type, machine->zone, machine->spot,
+              machine->type->cpus * policy_.drain_s};
+    for (const auto& [key, placed] : machine->tasks) {
+      const Job* job = jobs_->Find(key.first);
+      if (!job) continue;
+      double part = 1;
+      if (placed.running_since > 0 && job->spec().estimate_s > 0)
+        part = std::clamp(1 - (context_->now - placed.running_since) /
+                                  job->spec().estimate_s,
+                          0.1, 1.0);
+      room.core_seconds -= part * CoreSeconds(job->spec(), *machine->type);
+    }
+    rooms.push_back(room);
+  }
+  for (const auto& [name, rent] : rents_) {
+    if (rent.record.answered) continue;
+    const MachineType* type = FindType(rent.record.type);
+    for (int i = 0; type && i < rent.record.count; ++i) {
+      cpus += type->cpus;
+      rooms.push_back({type, rent.record.zone, rent.record.spot,
+                       type->cpus * policy_.drain_s});
+    }
+  }
+  std::map<std::string, int> wanted;
+  std::map<std::string, double> team_left;
+  for (const Team& team : settings_->teams)
+    team_left[team.name] = team.cpus_max - jobs_->use(team.name).cpus;
+  for (Job* job : jobs_->queue())
+    if (!job->pending.empty() && !job->finishing &&
+        context_->now >= job->retry_at)
+      PlanJob(*job, &team_left[job->spec().team], &rooms, &wanted);
+  const std::vector<Offer> offers = Offers();
+  // The base is rented whether or not there is work for it.
+  double planned = cpus;
+  for (const Offer& offer : offers)
+    if (auto it = wanted.find(offer.Key()); it != wanted.end())
+      planned += it->second * offer.type->cpus;
+  while (planned < base_target_) {
+    const Offer* best = nullptr;
+    for (const Offer& offer : offers)
+      if (!best || offer.price / offer.type->cpus <
+                       best->price / best->type->cpus)
+        best = &offer;
+    if (!best) break;
+    ++wanted[best->Key()];
+    planned += best->type->cpus;
+  }
+  for (const Offer& offer : offers)
+    if (auto it = wanted.find(offer.Key()); it != wanted.end())
+      Begin(offer, std::min(it->second, kMaxPerRent));
+}
+
+void Fleet::Begin(const Offer& offer, int count) {
+  RentRecord record;
+  record.name =
+      "r-" + std::to_string(term_) + "-" + std::to_string(++next_rent_);
+  record.type = offer.type->name;
+  record.zone = offer.zone;
+  record.spot = offer.spot;
+  record.count = count;
+  OpenRent rent;
+  rent.record = record;
+  rent.began = context_->now;
+  rents_[record.name] = std::move(rent);
+  // The record comes before the call: guards against a machine that a crash
+  // between the two would leave without an owner.
+  writer_->Put(keys::Rent(record.name), wire::EncodeRentRecord(record),
+               [this, name = record.name] {
+                 if (auto it = rents_.find(name); it != rents_.end())
+                   it->second.recorded = true;
+               });
+}
+
+void Fleet::CallRent(const std::string& name) {
+  OpenRent& rent = rents_[name];
+  rent.calling = true;
+  context_->Rent(rent.record, [this, name, generation = generation_](
+                                  const CloudResult& result) {
+    if (generation != generation_) return;
+    auto it = rents_.find(name);
+    if (it == rents_.end()) return;
+    OpenRent& open = it->second;
+    open.calling = false;
+    const std::string offer = open.record.type + "|" + open.record.zone + "|" +
+                              (open.record.spot ? "spot" : "ordinary");
+    if (result.outcome == Outcome::kRefused) {
+      refused_until_[offer] =
+          context_->now + (result.no_capacity ? kRefusedOfferS : kCloudTroubleS);
+      EndRent(name);
+      return;
+    }
+    if (result.outcome != Outcome::kOk) {
+      // It may have been carried out: the same name asked again tells.
+      open.next_call = context_->now + 1;
+      return;
+    }
+    if (static_cast<int>(result.machines.size()) < open.record.count)
+      refused_until_[offer] = context_->now + kRefusedOfferS;
+    open.record.answered = true;
+    open.record.machines = result.machines;
+    for (const std::string& machine_name : result.machines) {
+      if (machines_->Gone(machine_name)) continue;
+      Machine* machine = machines_->Find(machine_name);
+      if (!machine) {
+        machine = machines_->Add(machine_name);
+        machine->type_name = open.record.type;
+        machine->type = FindType(open.record.type);
+        machine->zone = open.record.zone;
+        machine->spot = open.record.spot;
+        machine->rented_at = open.began;
+      }
+      if (!machine->recorded) open.unsettled.insert(machine_name);
+    }
+    if (open.unsettled.empty())
+      EndRent(name);
+    else
+      writer_->Put(keys::Rent(name), wire::EncodeRentRecord(open.record));
+  });
+}
+
+void Fleet::Settled(const std::string& machine) {
+  std::vector<std::string> ended;
+  for (auto& [name, rent] : rents_)
+    if (rent.unsettled.erase(machine) > 0 && rent.unsettled.empty() &&
+        rent.record.answered)
+      ended.push_back(name);
+  for (const std::string& name : ended) EndRent(name);
+}
+
+void Fleet::EndRent(const std::string& name) {
+  rents_.erase(name);
+  writer_->Remove(keys::Rent(name));
+}
+
+// The oldest machines are the base, up to its target.
+void Fleet::ChooseBase() {
+  double cpus = 0;
+  for (auto& [name, machine] : machines_->all()) {
+    const bool counts = machine->type && machine->ever_reported &&
+                        !machine->releasing && !machine->set_aside &&
+                        machine->notice_until == 0;
+    machine->base = counts && cpus < base_target_;
+    if (machine->base) cpus += machine->type->cpus;
+  }
+}
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/fleet.h
@@ -0,0 +1,111 @@
+// Renting and returning machines: one paced queue of calls, a record before each
+// rental, a hold before an idle machine goes, and the steady base.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/context.h"
+#include "core/job_table.h"
+#include "core/machine_table.h"
+#include "core/placement.h"
+#include "core/writer.h"
+
+namespace sorrelwood {
+
+class Fleet {
+ public:
+  Fleet(Context* context, JobTable* jobs, MachineTable* machines,
+        Placement* placement, Writer* writer, const ClusterSettings* settings,
+        const PolicySettings& policy)
+      : context_(context),
+        jobs_(jobs),
+        machines_(machines),
+        placement_(placement),
+        writer_(writer),
+        settings_(settings),
+        policy_(policy) {}
+
+  void LearnCatalog(const std::vector<MachineType>& types);
+  const MachineType* FindType(const std::string& name) const;
+
+  // A new leader takes over the records of the one before.
+  void Load(uint64_t term, const std::vector<RentRecord>& rents);
+  void Clear();
+  void Tick();
+  // Returns the machine; its tasks count as on it until the cloud confirms.
+  void Return(Machine* machine, const std::string& why);
+  // The machine's record is committed, or it is gone.
+  void Settled(const std::string& machine);
+
+  // Called when the cloud has confirmed that the machine is gone.
+  std::function<void(Machine*)> on_gone;
+  double base_target_cpus() const { return base_target_; }
+
+ private:
+  struct Offer {
+    const MachineType* type = nullptr;
+    std::string zone;
+    bool spot = false;
+    double price = 0;
+    std::string Key() const {
+      return type->name + "|" + zone + "|" + (spot ? "spot" : "ordinary");
+    }
+  };
+  struct OpenRent {
+    RentRecord record;
+    bool recorded = false, calling = false;
+    double next_call = 0, began = 0;
+    std::set<std::string> unsettled;
+  };
+  // Room that is there, or will be, in core-seconds of the planning window.
+  struct Room {
+    const MachineType* type = nullptr;
+    std::string zone;
+    bool spot = false;
+    double core_seconds = 0;
+  };
+
+  bool TakeCall();
+  void ReadList();
+  void LearnList(const std::vector<ListedMachine>& listed);
+  void Plan();
+  void PlanJob(const Job& job, double* team_cpus_left, std::vector<Room>* rooms,
+               std::map<std::string, int>* wanted);
+  bool JobAllows(const JobSpec& spec, const MachineType& type,
+                 const std::string& zone, bool spot) const;
+  double CoreSeconds(const JobSpec& spec, const MachineType& type) const;
+  std::vector<Offer> Offers() const;
+  void Begin(const Offer& offer, int count);
+  void CallRent(const std::string& name);
+  void EndRent(const std::string& name);
+  void ChooseBase();
+  void ReturnIdle();
+  void SendReturns();
+
+  Context* context_;
+  JobTable* jobs_;
+  MachineTable* machines_;
+  Placement* placement_;
+  Writer* writer_;
+  const ClusterSettings* settings_;
+  PolicySettings policy_;
+  std::map<std::string, MachineType> types_;
+
+  uint64_t term_ = 0;
+  uint64_t generation_ = 0;  // results of an earlier term are ignored
+  uint64_t next_rent_ = 0;
+  std::map<std::string, OpenRent> rents_;
+  std::map<std::string, double> refused_until_;
+  std::set<std::string> returning_;
+  bool return_in_flight_ = false;
+  bool listing_ = false;
+  double next_list_ = 0, next_plan_ = 0;
+  double calls_ = 0, calls_at_ = 0;
+  double base_target_ = 0;
+};
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/front_desk.cc
@@ -0,0 +1,295 @@
+#include "core/front_desk.h"
+
+#include <algorithm>
+#include <set>
+
+#include "core/constants.h"
+#include "core/keys.h"
+#include "wire/json.h"
+
+namespace sorrelwood {
+
+FrontDesk::FrontDesk(Context* context, Directory* directory,
+                     const ClusterSettings* settings)
+    : context_(context), directory_(directory), settings_(settings) {}
+
+void FrontDesk::Tick() {
+  std::vector<uint64_t> late;
+  for (const auto& [request, until] : open_)
+    if (context_->now > until) late.push_back(request);
+  for (uint64_t request : late)
+    Unavailable(request, "the state service does not answer");
+  if (!checks_.empty() && context_->now >= check_at_ && checks_sent_ < 4)
+    Check();
+}
+
+bool FrontDesk::Admit(uint64_t request, double answer_within_s) {
+  if (open_.size() >= kMaxWaitingRequests) {
+    context_->out.push_back(AnswerUser{
+        request, 429, wire::EncodeError("too many requests are waiting"), 2});
+    return false;
+  }
+  open_[request] = context_->now + answer_within_s;
+  return true;
+}
+
+void FrontDesk::Answer(uint64_t request, int status, std::string body,
+                       double retry_after_s) {
+  if (open_.erase(request) == 0) return;  // answered already
+  context_->out.push_back(
+      AnswerUser{request, status, std::move(body), retry_after_s});
+}
+
+void FrontDesk::Unavailable(uint64_t request, const std::string& why) {
+  Answer(request, 503, wire::EncodeError(why), 1);
+}
+
+void FrontDesk::AnswerFinal(uint64_t request, const std::string& id,
+                            FinalState state) {
+  Answer(request, 200,
+         wire::EncodeStatus(
+             id, state == FinalState::kDone ? "done" : "cancelled"));
+}
+
+void FrontDesk::AnswerState(uint64_t request, int status,
+                            const std::string& id) {
+  if (auto state = directory_->FindFinal(id)) {
+    AnswerFinal(request, id, *state);
+    return;
+  }
+  const KnownJob* known = directory_->FindLive(id);
+  const JobCounts counts = known ? known->counts : JobCounts();
+  Answer(request, status,
+         wire::EncodeStatus(id, counts.running > 0 ? "running" : "queued",
+                            counts.done, counts.running));
+}
+
+std::string FrontDesk::Impossible(const JobSpec& spec) const {
+  const auto team =
+      std::find_if(settings_->teams.begin(), settings_->teams.end(),
+                   [&](const Team& t) { return t.name == spec.team; });
+  if (team == settings_->teams.end()) return "unknown team " + spec.team;
+  if (spec.cpus > team->cpus_max || spec.gpus > team->gpus_max)
+    return "a task needs more than the limit of team " + spec.team;
+  for (const MachineType& type : types_) {
+    if (spec.cpus > type.cpus || spec.gpus > type.gpus ||
+        spec.memory_gb > type.memory_gb)
+      continue;
+    if (!spec.types.empty() &&
+        std::find(spec.types.begin(), spec.types.end(), type.name) ==
+            spec.types.end())
+      continue;
+    if (!spec.zone.empty() && std::find(type.zones.begin(), type.zones.end(),
+                                        spec.zone) == type.zones.end())
+      continue;
+    return "";
+  }
+  return "a task fits no machine type that the job allows";
+}
+
+void FrontDesk::Submit(uint64_t request, const JobSpec& spec) {
+  if (!Admit(request, kSubmitAnswerS)) return;
+  const std::string id = spec.id;
+  if (auto state = directory_->FindFinal(id)) {
+    AnswerFinal(request, id, *state);
+    return;
+  }
+  if (types_.empty()) {
+    Unavailable(request, "the machine types are not known yet");
+    return;
+  }
+  if (const std::string why = Impossible(spec); !why.empty()) {
+    Answer(request, 422, wire::EncodeError(why));
+    return;
+  }
+  auto job = std::make_shared<LiveJob>();
+  job->spec = spec;
+  job->submitted_wall_s = context_->wall;
+  context_->Transact(
+      StateLane::kUser, {{keys::Live(id), 0}, {keys::Final(id), 0}},
+      {{false, keys::Live(id), wire::EncodeLiveJob(*job), 0}},
+      [this, request, id, job](const StateResult& result) {
+        switch (result.outcome) {
+          case Outcome::kOk:
+            directory_->LearnLive(id, result.revision, job);
+            Answer(request, 201, wire::EncodeStatus(id, "queued"));
+            return;
+          case Outcome::kConflict:
+            LookUp(id, [this, request, id](Where where) {
+              if (where == Where::kNoAnswer || where == Where::kNowhere)
+                Unavailable(request, "the state service does not answer");
+              else
+                AnswerState(request, 200, id);
+            });
+            return;
+          case Outcome::kRefused:
+          case Outcome::kUnknown:
+            // It may yet be carried out; the user's retry will find the job.
+            Unavailable(request, "the job could not be recorded");
+            return;
+        }
+      });
+}
+
+void FrontDesk::LookUp(const std::string& id, std::function<void(Where)> found) {
+  context_->Get(StateLane::kUser, keys::Live(id),
+                [this, id, found](const StateResult& got) {
+                  if (got.outcome == Outcome::kOk && !got.items.empty()) {
+                    directory_->LearnLive(id, got.items[0].version,
+                                          got.items[0].value);
+                    found(Where::kLive);
+                  } else if (got.outcome == Outcome::kConflict) {
+                    ReadFinal(id, found);
+                  } else {
+                    found(Where::kNoAnswer);
+                  }
+                });
+}
+
+void FrontDesk::ReadFinal(const std::string& id,
+                          std::function<void(Where)> found) {
+  context_->Get(StateLane::kUser, keys::Final(id),
+                [this, id, found](const StateResult& got) {
+                  FinalState state;
+                  if (got.outcome == Outcome::kOk && !got.items.empty() &&
+                      wire::ParseFinal(got.items[0].value, &state)) {
+                    directory_->LearnFinal(id, state);
+                    found(Where::kFinal);
+                  } else if (got.outcome == Outcome::kConflict) {
+                    found(Where::kNowhere);
+                  } else {
+                    found(Where::kNoAnswer);
+                  }
+                });
+}
+
+void FrontDesk::Poll(uint64_t request, const std::string& id) {
+  if (!Admit(request, kPollAnswerS)) return;
+  if (!wire::ValidJobId(id)) {
+    Answer(request, 404, wire::EncodeError("no such job"));
+    return;
+  }
+  if (auto state = directory_->FindFinal(id)) {
+    AnswerFinal(request, id, *state);
+    return;
+  }
+  if (directory_->FindLive(id)) {
+    // Another controller may have told a later state: checked before telling.
+    if (checks_.empty()) check_at_ = context_->now + kCheckBatchS;
+    checks_.push_back({request, id});
+    return;
+  }
+  LookUp(id, [this, request, id](Where where) {
+    if (where == Where::kNoAnswer)
+      Unavailable(request, "the state service does not answer");
+    else if (where == Where::kNowhere)
+      Answer(request, 404, wire::EncodeError("no such job"));
+    else
+      AnswerState(request, 200, id);
+  });
+}
+
+// One compare-only transaction, sent after the polls arrived, shows which of
+// their jobs are still live.
+void FrontDesk::Check() {
+  const size_t most = static_cast<size_t>(settings_->state_txn_ops) * 4;
+  std::vector<Guard> guards;
+  std::set<std::string> included;
+  std::vector<Waiting> batch, rest;
+  for (Waiting& waiting : checks_) {
+    const KnownJob* known = directory_->FindLive(waiting.id);
+    if (!known) {  // it has ended since the poll came: that is final
+      AnswerState(waiting.request, 200, waiting.id);
+      continue;
+    }
+    if (!included.count(waiting.id)) {
+      if (guards.size() >= most) {
+        rest.push_back(std::move(waiting));
+        continue;
+      }
+      included.insert(waiting.id);
+      guards.push_back({keys::Live(waiting.id), known->version});
+    }
+    batch.push_back(std::move(waiting));
+  }
+  checks_ = std::move(rest);
+  check_at_ = context_->now + kCheckBatchS;
+  if (guards.empty()) return;
+  ++checks_sent_;
+  context_->Transact(
+      StateLane::kUser, std::move(guards), {},
+      [this, batch = std::move(batch)](const StateResult& result) {
+        --checks_sent_;
+        const std::set<std::string> failed(result.failed.begin(),
+                                           result.failed.end());
+        for (const Waiting& waiting : batch) {
+          const auto& [request, id] = waiting;
+          if (result.outcome == Outcome::kOk ||
+              (result.outcome == Outcome::kConflict && !failed.empty() &&
+               !failed.count(keys::Live(id)))) {
+            AnswerState(request, 200, id);
+          } else if (result.outcome == Outcome::kConflict) {
+            ReadFinal(id, [this, request = request, id = id](Where where) {
+              if (where == Where::kFinal)
+                AnswerState(request, 200, id);
+              else
+                Unavailable(request, "the state service does not answer");
+            });
+          } else {
+            Unavailable(request, "the state service does not answer");
+          }
+        }
+      });
+}
+
+void FrontDesk::Cancel(uint64_t request, const std::string& id) {
+  if (!Admit(request, kSubmitAnswerS)) return;
+  if (!wire::ValidJobId(id)) {
+    Answer(request, 404, wire::EncodeError("no such job"));
+    return;
+  }
+  if (auto state = directory_->FindFinal(id)) {
+    AnswerFinal(request, id, *state);
+    return;
+  }
+  if (directory_->FindLive(id)) {
+    CancelLive(request, id);
+    return;
+  }
+  LookUp(id, [this, request, id](Where where) {
+    if (where == Where::kLive && directory_->FindLive(id))
+      CancelLive(request, id);
+    else if (where == Where::kFinal || where == Where::kLive)
+      AnswerState(request, 200, id);
+    else if (where == Where::kNowhere)
+      Answer(request, 404, wire::EncodeError("no such job"));
+    else
+      Unavailable(request, "the state service does not answer");
+  });
+}
+
+// Committed before it is told, and guarded against the job having been done.
+void FrontDesk::CancelLive(uint64_t request, const std::string& id) {
+  const uint64_t version = directory_->FindLive(id)->version;
+  context_->Transact(
+      StateLane::kUser, {{keys::Live(id), version}},
+      {{true, keys::Live(id), "", 0},
+       {false, keys::Final(id), wire::EncodeFinal(FinalState::kCancelled), 0}},
+      [this, request, id](const StateResult& result) {
+        if (result.outcome == Outcome::kOk) {
+          directory_->LearnFinal(id, FinalState::kCancelled);
+          AnswerState(request, 200, id);
+        } else if (result.outcome == Outcome::kConflict) {
+          ReadFinal(id, [this, request, id](Where where) {
+            if (where == Where::kFinal)
+              AnswerState(request, 200, id);
+            else
+              Unavailable(request, "the state service does not answer");
+          });
+        } else {
+          Unavailable(request, "the cancellation could not be recorded");
+        }
+      });
+}
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/front_desk.h
@@ -0,0 +1,61 @@
+// The users' requests. Every controller answers them by itself through the
+// state service, whoever leads.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/context.h"
+#include "core/directory.h"
+
+namespace sorrelwood {
+
+class FrontDesk {
+ public:
+  FrontDesk(Context* context, Directory* directory,
+            const ClusterSettings* settings);
+
+  void LearnCatalog(const std::vector<MachineType>& types) { types_ = types; }
+  // Answers that wait for the state service and could not be given in time are
+  // given up; the checks that are due are sent.
+  void Tick();
+
+  void Submit(uint64_t request, const JobSpec& spec);
+  void Poll(uint64_t request, const std::string& id);
+  void Cancel(uint64_t request, const std::string& id);
+
+ private:
+  struct Waiting {
+    uint64_t request = 0;
+    std::string id;
+  };
+
+  bool Admit(uint64_t request, double answer_within_s);
+  void Answer(uint64_t request, int status, std::string body,
+              double retry_after_s = 0);
+  void AnswerState(uint64_t request, int status, const std::string& id);
+  void AnswerFinal(uint64_t request, const std::string& id, FinalState state);
+  void Unavailable(uint64_t request, const std::string& why);
+  // Empty, or why no machine or limit could ever take a task of the job.
+  std::string Impossible(const JobSpec& spec) const;
+  // Reads live key, then final key, and calls `found` with what there is: the
+  // job moves from the first to the second, so this order misses nothing.
+  enum class Where { kLive, kFinal, kNowhere, kNoAnswer };
+  void LookUp(const std::string& id, std::function<void(Where)> found);
+  void ReadFinal(const std::string& id, std::function<void(Where)> found);
+  void CancelLive(uint64_t request, const std::string& id);
+  void Check();
+
+  Context* context_;
+  Directory* directory_;
+  const ClusterSettings* settings_;
+  std::vector<MachineType> types_;
+  std::map<uint64_t, double> open_;  // request -> when it is given up
+  std::vector<Waiting> checks_;      // polls that wait for the next check
+  double check_at_ = 0;
+  int checks_sent_ = 0;
+};
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/job_table.cc
@@ -0,0 +1,110 @@
+#include "core/job_table.h"
+
+#include <algorithm>
+
+#include "core/constants.h"
+
+namespace sorrelwood {
+
+Job* JobTable::Add(std::shared_ptr<const LiveJob> record, uint64_t version,
+                   bool inherited, double now) {
+  auto& slot = jobs_[record->spec.id];
+  if (slot) return slot.get();
+  slot = std::make_unique<Job>();
+  slot->record = std::move(record);
+  slot->version = version;
+  slot->inherited = inherited;
+  slot->pending.Add(0, slot->spec().tasks);
+  slot->queued_at = now;
+  queue_stale_ = true;
+  return slot.get();
+}
+
+void JobTable::Remove(const std::string& id) {
+  jobs_.erase(id);
+  queue_stale_ = true;
+}
+
+void JobTable::Clear() {
+  jobs_.clear();
+  queue_.clear();
+  use_.clear();
+  queue_stale_ = true;
+}
+
+Job* JobTable::Find(const std::string& id) {
+  auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+const std::vector<Job*>& JobTable::queue() {
+  if (queue_stale_) {
+    queue_.clear();
+    for (auto& [id, job] : jobs_) queue_.push_back(job.get());
+    std::sort(queue_.begin(), queue_.end(), [](const Job* a, const Job* b) {
+      if (a->spec().priority != b->spec().priority)
+        return a->spec().priority > b->spec().priority;
+      if (a->record->submitted_wall_s != b->record->submitted_wall_s)
+        return a->record->submitted_wall_s < b->record->submitted_wall_s;
+      return a->id() < b->id();
+    });
+    queue_stale_ = false;
+  }
+  return queue_;
+}
+
+void JobTable::Place(Job* job, uint32_t task, const std::string& machine,
+                     const std::string& zone) {
+  job->pending.Remove(task);
+  job->placed[task] = machine;
+  ++job->placed_in_zone[zone];
+  AddStray(job->spec().team, job->spec().cpus, job->spec().gpus);
+}
+
+void JobTable::Unplace(Job* job, uint32_t task, const std::string& zone) {
+  if (job->placed.erase(task) == 0) return;
+  if (--job->placed_in_zone[zone] == 0) job->placed_in_zone.erase(zone);
+  AddStray(job->spec().team, -job->spec().cpus, -job->spec().gpus);
+  if (!job->done.Contains(task)) job->pending.Add(task);
+}
+
+void JobTable::MarkDone(Job* job, uint32_t task) {
+  job->pending.Remove(task);
+  job->waiting.erase(task);
+  if (!job->done.Contains(task)) job->done.Add(task);
+}
+
+void JobTable::AddStray(const std::string& team, double cpus, double gpus) {
+  TeamUse& use = use_[team];
+  use.cpus += cpus;
+  use.gpus += gpus;
+}
+
+std::string EncodeBits(const IntervalSet& tasks, uint32_t chunk,
+                       uint32_t task_count) {
+  const uint32_t begin = chunk * kTasksPerProgressKey;
+  const uint32_t end = std::min(begin + kTasksPerProgressKey, task_count);
+  std::string nibbles((end - begin + 3) / 4, '\0');
+  for (const auto& [first, last] : tasks.ranges())
+    for (uint32_t n = std::max(first, begin); n < std::min(last, end); ++n)
+      nibbles[(n - begin) / 4] =
+          static_cast<char>(nibbles[(n - begin) / 4] | (1 << ((n - begin) % 4)));
+  for (char& c : nibbles) c = "0123456789abcdef"[static_cast<int>(c)];
+  return nibbles;
+}
+
+void DecodeBits(const std::string& hex, uint32_t chunk, uint32_t task_count,
+                IntervalSet* tasks) {
+  const uint32_t begin = chunk * kTasksPerProgressKey;
+  for (size_t i = 0; i < hex.size(); ++i) {
+    const char c = hex[i];
+    const int value = c <= '9' ? c - '0' : c - 'a' + 10;
+    for (uint32_t bit = 0; bit < 4; ++bit) {
+      const uint32_t n = begin + static_cast<uint32_t>(i) * 4 + bit;
+      if ((value >> bit & 1) && n < task_count && !tasks->Contains(n))
+        tasks->Add(n);
+    }
+  }
+}
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/job_table.h
@@ -0,0 +1,87 @@
+// The leader's view of unfinished jobs: which tasks are pending, placed and
+// done. Task numbers are kept as ranges; only placed tasks cost an entry each.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/interval_set.h"
+#include "core/types.h"
+
+namespace sorrelwood {
+
+struct Job {
+  std::shared_ptr<const LiveJob> record;
+  uint64_t version = 0;
+  // It existed before this leader's term: an earlier leader may have placed
+  // tasks of it on machines that have not reported yet.
+  bool inherited = false;
+
+  IntervalSet pending;    // neither placed nor done
+  IntervalSet done;       // completed, as reported
+  IntervalSet committed;  // completed, and written down
+  std::map<uint32_t, std::string> placed;  // task -> machine
+  std::map<std::string, uint32_t> placed_in_zone;
+
+  // The waiting policy's marks on pending tasks.
+  std::map<uint32_t, double> waiting;  // killed at t, since when it waits
+  IntervalSet rented;                  // runs rented to the end
+
+  // Failing tasks.
+  std::set<std::string> error_machines;
+  int errors = 0;
+  double retry_at = 0;
+  bool finishing = false;  // the final transaction is under way
+
+  double queued_at = 0;  // steady time at which this leader saw it
+  bool sampled = false;  // its wait has been taken as a sample
+  std::vector<double> features;
+
+  const JobSpec& spec() const { return record->spec; }
+  const std::string& id() const { return record->spec.id; }
+};
+
+struct TeamUse {
+  double cpus = 0, gpus = 0;
+};
+
+class JobTable {
+ public:
+  Job* Add(std::shared_ptr<const LiveJob> record, uint64_t version,
+           bool inherited, double now);
+  void Remove(const std::string& id);
+  void Clear();
+  Job* Find(const std::string& id);
+
+  // By priority, then by arrival: the order in which work is looked at.
+  const std::vector<Job*>& queue();
+  std::map<std::string, std::unique_ptr<Job>>& all() { return jobs_; }
+
+  // A task leaves or enters the pending set; the team's use follows.
+  void Place(Job* job, uint32_t task, const std::string& machine,
+             const std::string& zone);
+  // `again`: back to pending, unless it is done.
+  void Unplace(Job* job, uint32_t task, const std::string& zone);
+  void MarkDone(Job* job, uint32_t task);
+
+  const TeamUse& use(const std::string& team) { return use_[team]; }
+  // Use of tasks whose job has ended but that may still be on a machine.
+  void AddStray(const std::string& team, double cpus, double gpus);
+
+ private:
+  std::map<std::string, std::unique_ptr<Job>> jobs_;
+  std::vector<Job*> queue_;
+  bool queue_stale_ = true;
+  std::map<std::string, TeamUse> use_;
+};
+
+// The completed tasks of one progress key as hexadecimal bits, and back.
+std::string EncodeBits(const IntervalSet& tasks, uint32_t chunk,
+                       uint32_t task_count);
+void DecodeBits(const std::string& hex, uint32_t chunk, uint32_t task_count,
+                IntervalSet* tasks);
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/leadership.h
@@ -0,0 +1,59 @@
+// Who leads. The leader key hangs on a lease of the state service; taking it
+// raises the term in the same transaction. The term is the token that workers
+// are given and the upper half of every attempt number.
+#pragma once
+
+#include "core/context.h"
+#include "core/directory.h"
+
+namespace sorrelwood {
+
+class Leadership {
+ public:
+  Leadership(Context* context, Directory* directory, std::string node,
+             double lease_s, double cancel_s);
+
+  void Tick();
+  void LearnTerm(uint64_t term);  // from a sibling or a worker
+
+  bool leading() const { return leading_; }
+  uint64_t term() const { return term_; }
+  uint64_t highest_term() const { return highest_term_; }
+  // Guards against a late write of a leader that has been replaced.
+  Guard guard() const;
+
+  // Nobody else can lead yet: launches may leave. Guards against a leader that
+  // was cut off and goes on placing.
+  bool MayLaunch() const;
+  // The workers may be kept (their reports answered): guards against both losing
+  // all work in an outage and keeping work that a user was told is cancelled.
+  bool MayAnswer() const;
+  // How long after its last look at the jobs a leader answers reports (s).
+  double answer_reach_s() const { return answer_reach_s_; }
+
+  void StepDown(const std::string& why);
+  std::function<void()> on_elected, on_deposed;
+
+ private:
+  void Campaign();
+  void Claim(uint64_t lease, double created);
+  void Renew();
+  void RemoveOwnStaleKey();
+
+  Context* context_;
+  Directory* directory_;
+  std::string node_;
+  double answer_reach_s_;
+  bool leading_ = false;
+  bool campaigning_ = false;
+  double retry_at_ = 0;
+  uint64_t term_ = 0;
+  uint64_t highest_term_ = 0;
+  uint64_t version_ = 0;
+  uint64_t lease_ = 0;
+  bool renewing_ = false;
+  double next_renewal_ = 0;
+  double confirmed_at_ = 0;  // when the last renewal that succeeded was sent
+};
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/machine_table.h
@@ -0,0 +1,106 @@
+// What each machine may still hold, and the proof that it does not. A launch
+// that was sent counts as on the machine until there is proof otherwise.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/types.h"
+
+namespace sorrelwood {
+
+using TaskKey = std::pair<std::string, uint32_t>;  // job, task number
+
+enum class PlacedPhase {
+  kAssigned,  // chosen, not told to anybody: may be taken back freely
+  kSent,      // the launch left in an answer; it may or may not have arrived
+  kPresent,   // reported by the machine
+};
+
+struct Placed {
+  uint64_t attempt = 0;
+  double cpus = 0, gpus = 0, memory_gb = 0;
+  std::string team, image;
+  PlacedPhase phase = PlacedPhase::kAssigned;
+  uint64_t sent_session = 0, sent_sequence = 0;
+  double sent_at = 0;
+  TaskState state = TaskState::kFetching;
+  double running_since = 0;  // 0: not yet
+  bool speculative = false;  // on a rented machine, to be judged at t
+  bool stop = false;         // told, or to be told, to stop
+  double stop_grace_s = 0;
+  bool requeue_waiting = false;  // killed at t: queue for owned room
+  bool requeue_rented = false;   // killed at t: run rented to the end
+  bool job_live = true;          // false: its job has ended, it must go
+};
+
+struct Machine {
+  std::string name, address;
+  const MachineType* type = nullptr;
+  std::string type_name, zone;
+  bool spot = false;
+  double rented_at = 0;
+
+  bool recorded = false;    // its record is committed: launches may go there
+  bool recording = false;
+  bool heard = false;       // showed our token: its report is the whole truth
+  bool inherited = false;   // an earlier leader may have placed tasks on it
+  bool ever_reported = false;
+  bool listed = false;      // seen in the cloud's list by this leader
+  double missing_since = 0; // not in the lists since; 0: it is
+  bool base = false;        // part of the steady base, the owned room
+  bool set_aside = false;   // faulty: drained and returned
+  bool releasing = false;
+  double next_release = 0;
+  uint64_t session = 0, sequence = 0;
+  double last_heard = 0;     // when its latest report arrived
+  double last_answered = 0;  // when we last answered one
+  double notice_until = 0;   // the cloud takes it then; 0: no notice
+  double idle_since = 0;     // 0: not idle
+  double refused_until = 0;
+  int error_streak = 0;
+  std::set<std::string> error_jobs;
+  bool pushing = false;
+  double next_push = 0;
+  std::map<TaskKey, Placed> tasks;
+  // Tasks that ended with `done` and stay until that is written down.
+  std::map<TaskKey, uint64_t> finished;
+  std::vector<std::string> images;  // most recently used last
+  double cpus_used = 0, gpus_used = 0, memory_used = 0;
+
+  double cpus() const { return type ? type->cpus : 0; }
+  double cpus_free() const { return type ? type->cpus - cpus_used : 0; }
+  bool Fits(const JobSpec& spec) const {
+    constexpr double kRounding = 1e-6;
+    return type && spec.cpus <= type->cpus - cpus_used + kRounding &&
+           spec.gpus <= type->gpus - gpus_used + kRounding &&
+           spec.memory_gb <= type->memory_gb - memory_used + kRounding;
+  }
+  void Hold(const TaskKey& key, Placed placed);
+  Placed Drop(std::map<TaskKey, Placed>::iterator it);
+  bool HasImage(const std::string& image) const;
+  void UseImage(const std::string& image);
+};
+
+class MachineTable {
+ public:
+  Machine* Find(const std::string& name);
+  Machine* Add(const std::string& name);
+  void Remove(const std::string& name);
+  void Clear();
+  std::map<std::string, std::unique_ptr<Machine>>& all() { return machines_; }
+
+  // Machines that were returned or are proved gone: their late reports and
+  // stale list entries are ignored.
+  bool Gone(const std::string& name) const { return gone_.count(name) > 0; }
+
+ private:
+  std::map<std::string, std::unique_ptr<Machine>> machines_;
+  std::set<std::string> gone_;
+};
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/placement.cc
@@ -0,0 +1,151 @@
+#include "core/placement.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "core/constants.h"
+
+namespace sorrelwood {
+
+bool Placement::Startable(const Job& job) const {
+  if (job.pending.empty() || job.finishing || context_->now < job.retry_at)
+    return false;
+  // A task of a job that an earlier leader knew may be on a machine that has
+  // not been heard: guards against running it twice.
+  return !(job.inherited && unaccounted_machines_ > 0);
+}
+
+bool Placement::WithinQuota(const Job& job) const {
+  constexpr double kRounding = 1e-6;
+  for (const Team& team : settings_->teams) {
+    if (team.name != job.spec().team) continue;
+    const TeamUse use = jobs_->use(team.name);
+    return use.cpus + unaccounted_cpus_ + job.spec().cpus <=
+               team.cpus_max + kRounding &&
+           use.gpus + unaccounted_gpus_ + job.spec().gpus <=
+               team.gpus_max + kRounding;
+  }
+  return false;
+}
+
+bool Placement::Allowed(const Job& job, const Machine& machine) const {
+  const JobSpec& spec = job.spec();
+  if (machine.spot && !spec.spot) return false;
+  if (!spec.zone.empty() && machine.zone != spec.zone) return false;
+  if (!spec.types.empty() && std::find(spec.types.begin(), spec.types.end(),
+                                       machine.type_name) == spec.types.end())
+    return false;
+  if (spec.one_zone && !job.placed_in_zone.empty() &&
+      (job.placed_in_zone.size() > 1 ||
+       job.placed_in_zone.begin()->first != machine.zone))
+    return false;
+  if (spec.spread) {
+    auto it = job.placed_in_zone.find(machine.zone);
+    if (it != job.placed_in_zone.end() && it->second >= (spec.tasks + 1) / 2)
+      return false;
+  }
+  return true;
+}
+
+bool Placement::Usable(const Machine& machine) const {
+  return machine.recorded && machine.heard && !machine.set_aside &&
+         !machine.releasing && machine.notice_until == 0 &&
+         context_->now >= machine.refused_until &&
+         context_->now - machine.last_heard <
+             kSilentReports * settings_->report_s;
+}
+
+std::optional<uint32_t> Placement::NextTask(const Job& job, bool owned) {
+  if (owned) {
+    for (const auto& [task, since] : job.waiting)
+      if (job.pending.Contains(task)) return task;
+    return std::nullopt;
+  }
+  for (const auto& [first, last] : job.pending.ranges())
+    for (uint32_t task = first; task < last; ++task)
+      if (!job.waiting.count(task)) return task;
+  return std::nullopt;
+}
+
+void Placement::Assign(Job* job, uint32_t task, Machine* machine,
+                       uint64_t term) {
+  const JobSpec& spec = job->spec();
+  Placed placed;
+  // Unique for ever: the term in the high half, a counter below.
+  placed.attempt = (term << 32) | ++attempts_;
+  placed.cpus = spec.cpus;
+  placed.gpus = spec.gpus;
+  placed.memory_gb = spec.memory_gb;
+  placed.team = spec.team;
+  placed.image = spec.image;
+  placed.speculative = !machine->base && !job->rented.Contains(task);
+  job->waiting.erase(task);
+  jobs_->Place(job, task, machine->name, machine->zone);
+  machine->Hold({job->id(), task}, std::move(placed));
+  machine->UseImage(spec.image);
+}
+
+Machine* Placement::BestFit(const Job& job,
+                            const std::vector<Machine*>& candidates,
+                            bool owned_only) const {
+  Machine* best = nullptr;
+  std::tuple<bool, double, bool> best_rank;
+  for (Machine* machine : candidates) {
+    if (owned_only && !machine->base) continue;
+    if (!machine->Fits(job.spec()) || !Allowed(job, *machine)) continue;
+    const std::tuple<bool, double, bool> rank{
+        !machine->base, machine->cpus_free(),
+        !machine->HasImage(job.spec().image)};
+    if (best && !(rank < best_rank)) continue;
+    best = machine;
+    best_rank = rank;
+  }
+  return best;
+}
+
+void Placement::Pass(uint64_t term) {
+  std::vector<Machine*> candidates;
+  for (auto& [name, machine] : machines_->all())
+    if (Usable(*machine) && machine->cpus_free() > 0)
+      candidates.push_back(machine.get());
+  if (candidates.empty()) return;
+  if (candidates.size() > kSampleMachines) {
+    // More than can be searched: a sample, drawn anew each pass.
+    std::shuffle(candidates.begin(), candidates.end(), context_->rng);
+    candidates.resize(kSampleMachines);
+  }
+  size_t looked_at = 0;
+  for (Job* job : jobs_->queue()) {
+    if (!Startable(*job)) continue;
+    if (++looked_at > kFrontJobs) break;
+    for (const bool owned : {true, false}) {
+      while (auto task = NextTask(*job, owned)) {
+        if (!WithinQuota(*job)) break;
+        Machine* machine = BestFit(*job, candidates, owned);
+        if (!machine) break;
+        Assign(job, *task, machine, term);
+      }
+    }
+  }
+}
+
+void Placement::Fill(Machine* machine, uint64_t term) {
+  if (!Usable(*machine)) return;
+  size_t looked_at = 0;
+  for (Job* job : jobs_->queue()) {
+    if (machine->cpus_free() <= 0) return;
+    if (!Startable(*job)) continue;
+    if (++looked_at > kFrontJobs) return;
+    for (const bool owned : {true, false}) {
+      if (owned && !machine->base) continue;
+      while (machine->Fits(job->spec()) && Allowed(*job, *machine) &&
+             WithinQuota(*job)) {
+        auto task = NextTask(*job, owned);
+        if (!task) break;
+        Assign(job, *task, machine, term);
+      }
+    }
+  }
+}
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/placement.h
@@ -0,0 +1,61 @@
+// Which task goes on which machine: owned room first, best fit by cores, the
+// first jobs near the front that fit. Every check that a rule needs is here.
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "core/context.h"
+#include "core/job_table.h"
+#include "core/machine_table.h"
+
+namespace sorrelwood {
+
+class Placement {
+ public:
+  Placement(Context* context, JobTable* jobs, MachineTable* machines,
+            const ClusterSettings* settings)
+      : context_(context),
+        jobs_(jobs),
+        machines_(machines),
+        settings_(settings) {}
+
+  // Matches the front of the queue with the machines that have room.
+  void Pass(uint64_t term);
+  // Fills the room of one machine, which is reporting just now.
+  void Fill(Machine* machine, uint64_t term);
+
+  // May `job` have a task started at all now?
+  bool Startable(const Job& job) const;
+  bool WithinQuota(const Job& job) const;
+  // Type, zone, kind and the job's other tasks allow the machine.
+  bool Allowed(const Job& job, const Machine& machine) const;
+  bool Usable(const Machine& machine) const;
+  // The next pending task; `owned` asks for those that wait for owned room.
+  static std::optional<uint32_t> NextTask(const Job& job, bool owned);
+
+  // Room that machines with unknown tasks may take of any team's limit: guards
+  // against a new leader going over a limit with what the old one placed.
+  void set_unaccounted(int machines, double cpus, double gpus) {
+    unaccounted_machines_ = machines;
+    unaccounted_cpus_ = cpus;
+    unaccounted_gpus_ = gpus;
+  }
+  int unaccounted() const { return unaccounted_machines_; }
+
+  void Assign(Job* job, uint32_t task, Machine* machine, uint64_t term);
+
+ private:
+  Machine* BestFit(const Job& job, const std::vector<Machine*>& candidates,
+                   bool owned_only) const;
+
+  Context* context_;
+  JobTable* jobs_;
+  MachineTable* machines_;
+  const ClusterSettings* settings_;
+  int unaccounted_machines_ = 0;
+  double unaccounted_cpus_ = 0, unaccounted_gpus_ = 0;
+  uint32_t attempts_ = 0;
+};
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/scheduler.cc
@@ -0,0 +1,725 @@
+#include "core/scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "core/constants.h"
+#include "core/keys.h"
+#include "wire/json.h"
+
+namespace sorrelwood {
+
+Scheduler::Scheduler(Context* context, Directory* directory,
+                     Leadership* leadership, const ClusterSettings* settings,
+                     const PolicySettings& policy, uint64_t seed)
+    : context_(context),
+      directory_(directory),
+      leadership_(leadership),
+      settings_(settings),
+      policy_(policy),
+      placement_(context, &jobs_, &machines_, settings),
+      writer_(context, leadership, settings),
+      fleet_(context, &jobs_, &machines_, &placement_, &writer_, settings,
+             policy),
+      waiting_(context, &jobs_, &machines_, policy, seed) {
+  fleet_.on_gone = [this](Machine* machine) { DropAll(machine); };
+}
+
+void Scheduler::LearnCatalog(const std::vector<MachineType>& types) {
+  fleet_.LearnCatalog(types);
+}
+
+// --- Taking over -----------------------------------------------------------------
+
+void Scheduler::Elected() {
+  Deposed();
+  elected_at_ = context_->now;
+  Load();
+}
+
+void Scheduler::Deposed() {
+  active_ = false;
+  ++generation_;
+  writer_.Clear();
+  fleet_.Clear();
+  jobs_.Clear();
+  machines_.Clear();
+  progress_.clear();
+  progress_keys_.clear();
+  unfinished_writes_.clear();
+  unknown_tasks_.clear();
+}
+
+// Machines, progress, jobs, rents: all read after the term was taken, when no
+// earlier leader can write any more.
+void Scheduler::Load() {
+  const auto step = [this](const std::string& prefix, auto next) {
+    context_->List(prefix, [this, next, generation = generation_](
+                               const StateResult& result) {
+      if (generation != generation_) return;
+      if (result.outcome != Outcome::kOk)
+        LoadFailed();
+      else
+        next(result);
+    });
+  };
+  step(keys::kMachine, [this, step](const StateResult& machines) {
+    LoadMachines(machines);
+    step(keys::kProgress, [this, step](const StateResult& progress) {
+      LoadProgress(progress);
+      step(keys::kLive, [this, step](const StateResult& live) {
+        directory_->LearnListing(live);
+        step(keys::kRent,
+             [this](const StateResult& rents) { Activate(rents); });
+      });
+    });
+  });
+}
+
+void Scheduler::LoadFailed() {
+  ++generation_;
+  machines_.Clear();
+  progress_.clear();
+  progress_keys_.clear();
+  next_policy_ = context_->now + 0.3;  // Tick loads again then
+}
+
+void Scheduler::LoadMachines(const StateResult& result) {
+  for (const KeyValue& item : result.items) {
+    MachineRecord record;
+    if (!wire::ParseMachineRecord(item.value, &record)) continue;
+    Machine* machine = machines_.Add(record.name);
+    machine->address = record.address;
+    machine->type_name = record.type;
+    machine->type = fleet_.FindType(record.type);
+    machine->zone = record.zone;
+    machine->spot = record.spot;
+    machine->recorded = true;
+    machine->inherited = true;
+    machine->ever_reported = true;
+    machine->rented_at = machine->last_heard = machine->last_answered =
+        context_->now;
+  }
+}
+
+void Scheduler::LoadProgress(const StateResult& result) {
+  for (const KeyValue& item : result.items) {
+    const std::string rest = keys::After(item.key, keys::kProgress);
+    const size_t slash = rest.rfind('/');
+    std::string bits;
+    if (slash == std::string::npos || !wire::ParseProgress(item.value, &bits))
+      continue;
+    const std::string job = rest.substr(0, slash);
+    const uint32_t chunk = static_cast<uint32_t>(
+        std::strtoul(rest.c_str() + slash + 1, nullptr, 10));
+    DecodeBits(bits, chunk, kMaxTasks, &progress_[job]);
+    progress_keys_[job].insert(chunk);
+  }
+}
+
+void Scheduler::Activate(const StateResult& rents) {
+  std::vector<RentRecord> records;
+  for (const KeyValue& item : rents.items) {
+    RentRecord record;
+    if (wire::ParseRentRecord(item.value, &record)) records.push_back(record);
+  }
+  active_ = true;
+  fleet_.Load(leadership_->term(), records);
+  for (const auto& [id, known] : directory_->live()) JobAppeared(id);
+  // What is left of ended jobs is swept.
+  for (const auto& [job, chunks] : progress_keys_)
+    if (!jobs_.Find(job))
+      for (uint32_t chunk : chunks) writer_.Remove(keys::Progress(job, chunk));
+  progress_.clear();
+  CountUnaccounted();
+  context_->Info("took over " + std::to_string(jobs_.all().size()) +
+                 " jobs and " + std::to_string(machines_.all().size()) +
+                 " machines");
+}
+
+void Scheduler::JobAppeared(const std::string& id) {
+  if (!active_) return;
+  const KnownJob* known = directory_->FindLive(id);
+  if (!known || jobs_.Find(id)) return;
+  const bool inherited = known->version < leadership_->guard().version;
+  Job* job = jobs_.Add(known->job, known->version, inherited, context_->now);
+  auto progress = progress_.find(id);
+  if (progress == progress_.end()) return;
+  for (const auto& [first, last] : progress->second.ranges()) {
+    for (uint32_t task = first; task < std::min(last, job->spec().tasks);
+         ++task) {
+      jobs_.MarkDone(job, task);
+      job->committed.Add(task);
+    }
+  }
+  if (job->done.size() == job->spec().tasks) unfinished_writes_.insert(id);
+}
+
+void Scheduler::JobEnded(const std::string& id, FinalState) {
+  if (!active_) return;
+  Job* job = jobs_.Find(id);
+  if (!job) return;
+  // Whatever of it may still be on a machine must go, and counts until then.
+  const auto placed = job->placed;
+  for (const auto& [task, name] : placed) {
+    Machine* machine = machines_.Find(name);
+    if (!machine) continue;
+    auto it = machine->tasks.find({id, task});
+    if (it == machine->tasks.end()) continue;
+    it->second.job_live = false;
+    it->second.stop = true;
+    it->second.stop_grace_s = 0;
+    if (it->second.phase == PlacedPhase::kAssigned) DropTask(machine, it);
+  }
+  if (auto keys = progress_keys_.find(id); keys != progress_keys_.end()) {
+    for (uint32_t chunk : keys->second)
+      writer_.Remove(keys::Progress(id, chunk));
+    progress_keys_.erase(keys);
+  }
+  unfinished_writes_.erase(id);
+  jobs_.Remove(id);
+}
+
+// --- Hearing machines ----------------------------------------------------------------
+
+void Scheduler::Report(uint64_t request, const WorkerReport& report) {
+  AnswerWorker answer;
+  answer.request = request;
+  answer.token = leadership_->term();
+  if (!active_ || machines_.Gone(report.machine)) {
+    // Nothing is known yet, or a copy of an old report: kept, given nothing.
+    context_->out.push_back(std::move(answer));
+    return;
+  }
+  Machine* machine = machines_.Find(report.machine);
+  if (!machine) machine = machines_.Add(report.machine);
+  if (!machine->type) {
+    machine->type_name = report.type;
+    machine->type = fleet_.FindType(report.type);
+  }
+  machine->zone = report.zone;
+  machine->spot = report.spot;
+  machine->last_answered = context_->now;
+  const bool newer =
+      std::make_pair(report.session, report.sequence) >
+      std::make_pair(machine->session, machine->sequence);
+  if (newer) {
+    Hear(machine, report, /*direct=*/false);
+    placement_.Fill(machine, leadership_->term());
+    answer.commands = Orders(machine, report);
+  }
+  context_->out.push_back(std::move(answer));
+}
+
+void Scheduler::Hear(Machine* machine, const WorkerReport& report, bool direct) {
+  if (!machine->ever_reported) {
+    machine->ever_reported = true;
+    machine->rented_at = std::min(machine->rented_at, context_->now);
+  }
+  machine->last_heard = context_->now;
+  if (!report.address.empty()) machine->address = report.address;
+  if (!machine->recorded) Record(machine);
+  if (report.session != machine->session) NewSession(machine, report.session);
+  machine->sequence = report.sequence;
+  if (report.token > leadership_->term()) {
+    leadership_->LearnTerm(report.token);
+    return;
+  }
+  if (report.notice_s && machine->notice_until == 0) {
+    machine->notice_until = context_->now + std::max(0.0, *report.notice_s);
+    NoticeGiven(machine);
+  }
+  std::set<TaskKey> present;
+  unknown_tasks_.erase(machine->name);
+  for (const TaskReport& task : report.tasks) {
+    present.insert({task.job, task.task});
+    HearTask(machine, task);
+  }
+  std::vector<TaskKey> missing;
+  for (const auto& [key, placed] : machine->tasks) {
+    if (present.count(key)) continue;
+    // Proof of absence: the report was sent after the one that the launch
+    // answered, so that answer was dropped or the task has gone. An answer to a
+    // direct command proves nothing about a launch still under way.
+    if (placed.phase == PlacedPhase::kSent &&
+        (placed.sent_session != report.session ||
+         report.sequence > placed.sent_sequence) &&
+        (!direct || context_->now - placed.sent_at >
+                        kReportAnswerS + kDirectTimeoutS + kReachMarginS))
+      missing.push_back(key);
+    else if (placed.phase == PlacedPhase::kPresent && !direct)
+      missing.push_back(key);
+  }
+  for (const TaskKey& key : missing) {
+    auto it = machine->tasks.find(key);
+    if (it != machine->tasks.end()) DropTask(machine, it);
+  }
+  for (auto it = machine->finished.begin(); it != machine->finished.end();)
+    it = present.count(it->first) ? std::next(it) : machine->finished.erase(it);
+  // Only a machine that shows our token takes no orders from an earlier leader
+  // any more: until then its report may miss a launch of his.
+  if (report.token == leadership_->term() && !machine->heard) {
+    machine->heard = true;
+    machine->inherited = false;
+  }
+  CountUnaccounted();
+}
+
+// A higher session: the worker killed and forgot all that it had.
+void Scheduler::NewSession(Machine* machine, uint64_t session) {
+  DropAll(machine);
+  machine->finished.clear();
+  machine->images.clear();
+  machine->session = session;
+  machine->sequence = 0;
+}
+
+void Scheduler::HearTask(Machine* machine, const TaskReport& task) {
+  const TaskKey key{task.job, task.task};
+  auto it = machine->tasks.find(key);
+  Placed* placed = it == machine->tasks.end() || it->second.attempt != task.attempt
+                       ? nullptr
+                       : &it->second;
+  if (task.state == TaskState::kExited) {
+    HearExit(machine, task, placed);
+    return;
+  }
+  if (!placed) {
+    Adopt(machine, task);
+    return;
+  }
+  placed->phase = PlacedPhase::kPresent;
+  if (task.state == TaskState::kRunning && placed->running_since == 0) {
+    placed->running_since = context_->now;
+    if (Job* job = jobs_.Find(task.job)) waiting_.LearnStart(job, *machine);
+  }
+  placed->state = task.state;
+}
+
+// A task that an earlier leader placed, or that nobody should have.
+void Scheduler::Adopt(Machine* machine, const TaskReport& task) {
+  Job* job = jobs_.Find(task.job);
+  const TaskKey key{task.job, task.task};
+  if (!job || task.task >= job->spec().tasks) {
+    // Of a job that has ended; what it takes of a limit is not known.
+    ++unknown_tasks_[machine->name];
+    return;
+  }
+  if (machine->tasks.count(key)) return;  // with another attempt: judged by it
+  auto elsewhere = job->placed.find(task.task);
+  if (elsewhere != job->placed.end()) {
+    Machine* other = machines_.Find(elsewhere->second);
+    auto it = other ? other->tasks.find(key) : decltype(machine->tasks.end())();
+    // Only chosen, not sent: the one that is there stays.
+    if (other && it != other->tasks.end() &&
+        it->second.phase == PlacedPhase::kAssigned)
+      DropTask(other, it);
+    else
+      return;  // stopped by Orders: it is not ours
+  }
+  Placed placed;
+  placed.attempt = task.attempt;
+  placed.cpus = job->spec().cpus;
+  placed.gpus = job->spec().gpus;
+  placed.memory_gb = job->spec().memory_gb;
+  placed.team = job->spec().team;
+  placed.image = job->spec().image;
+  placed.phase = PlacedPhase::kPresent;
+  placed.state = task.state;
+  placed.running_since =
+      task.state == TaskState::kRunning ? context_->now : 0;
+  placed.speculative = !machine->base;
+  placed.stop = job->done.Contains(task.task);
+  jobs_.Place(job, task.task, machine->name, machine->zone);
+  machine->Hold(key, std::move(placed));
+  machine->UseImage(job->spec().image);
+}
+
+void Scheduler::HearExit(Machine* machine, const TaskReport& task,
+                         Placed* placed) {
+  const TaskKey key{task.job, task.task};
+  Job* job = jobs_.Find(task.job);
+  const bool waiting = placed && placed->requeue_waiting;
+  const bool rented = placed && placed->requeue_rented;
+  if (placed) DropTask(machine, machine->tasks.find(key));
+  switch (task.reason) {
+    case ExitReason::kDone:
+      if (!job || task.task >= job->spec().tasks) return;
+      machine->error_streak = 0;
+      machine->error_jobs.clear();
+      machine->finished[key] = task.attempt;
+      Completed(job, task.task);
+      return;
+    case ExitReason::kError:
+      if (placed && job) Failed(machine, job);
+      return;
+    case ExitReason::kNoRoom:
+    case ExitReason::kBusy:
+      if (placed) machine->refused_until = context_->now + kRefusedPauseS;
+      return;
+    case ExitReason::kUnknown:
+      if (placed && job) job->retry_at = context_->now + kErrorPauseS;
+      return;
+    case ExitReason::kStopped:
+    case ExitReason::kNone:
+      if (!job || !job->pending.Contains(task.task)) return;
+      if (waiting) job->waiting[task.task] = context_->now;
+      if (rented && !job->rented.Contains(task.task))
+        job->rented.Add(task.task);
+      return;
+  }
+}
+
+void Scheduler::DropTask(Machine* machine,
+                         std::map<TaskKey, Placed>::iterator it) {
+  const TaskKey key = it->first;
+  const Placed placed = machine->Drop(it);
+  Job* job = jobs_.Find(key.first);
+  if (job && placed.job_live)
+    jobs_.Unplace(job, key.second, machine->zone);
+  else
+    jobs_.AddStray(placed.team, -placed.cpus, -placed.gpus);
+}
+
+void Scheduler::DropAll(Machine* machine) {
+  while (!machine->tasks.empty()) DropTask(machine, machine->tasks.begin());
+  machine->inherited = false;
+  unknown_tasks_.erase(machine->name);
+  CountUnaccounted();
+}
+
+void Scheduler::Completed(Job* job, uint32_t task) {
+  if (job->done.Contains(task)) return;
+  jobs_.MarkDone(job, task);
+  job->errors = 0;
+  unfinished_writes_.insert(job->id());
+  // Its result is kept: another attempt of it, if there is one, is of no use.
+  auto elsewhere = job->placed.find(task);
+  if (elsewhere == job->placed.end()) return;
+  Machine* machine = machines_.Find(elsewhere->second);
+  if (!machine) return;
+  auto it = machine->tasks.find({job->id(), task});
+  if (it != machine->tasks.end()) it->second.stop = true;
+}
+
+void Scheduler::Failed(Machine* machine, Job* job) {
+  job->error_machines.insert(machine->name);
+  const bool bad_job =
+      static_cast<int>(job->error_machines.size()) >= kBadJobMachines;
+  ++job->errors;
+  if (bad_job) {
+    const double pause =
+        kErrorPauseS * std::pow(2.0, std::min(job->errors, 10));
+    job->retry_at = context_->now + std::min(pause, kErrorPauseMaxS);
+    return;
+  }
+  // Two failures in a row of a machine, and the job does not fail everywhere:
+  // the machine is at fault. Guards against one that swallows the queue.
+  machine->error_jobs.insert(job->id());
+  if (++machine->error_streak >= kSickErrors && !machine->set_aside) {
+    machine->set_aside = true;
+    context_->Info("setting " + machine->name + " aside: its tasks fail");
+    for (auto& [key, placed] : machine->tasks) {
+      const Job* other = jobs_.Find(key.first);
+      placed.stop = true;
+      placed.stop_grace_s = other ? other->spec().save_s : 0;
+    }
+  }
+}
+
+// What can save does so and moves; what would end in time runs on; the rest
+// loses its work either way and moves at once.
+void Scheduler::NoticeGiven(Machine* machine) {
+  const double left = machine->notice_until - context_->now;
+  for (auto& [key, placed] : machine->tasks) {
+    const Job* job = jobs_.Find(key.first);
+    if (!job) continue;
+    const double ran =
+        placed.running_since > 0 ? context_->now - placed.running_since : 0;
+    const bool ends = placed.running_since > 0 &&
+                      job->spec().estimate_s - ran < left * 0.5;
+    if (ends) continue;
+    placed.stop = true;
+    placed.stop_grace_s = job->spec().checkpoint_s > 0 &&
+                                  job->spec().save_s < left
+                              ? job->spec().save_s
+                              : 0;
+  }
+}
+
+std::vector<Command> Scheduler::Orders(Machine* machine,
+                                       const WorkerReport& report) {
+  std::vector<Command> orders;
+  for (const TaskReport& task : report.tasks) {
+    const TaskKey key{task.job, task.task};
+    Job* job = jobs_.Find(task.job);
+    if (task.state == TaskState::kExited) {
+      // A completion is cleared only once it is written down, or the job has
+      // ended: guards against a result that a crash would make us forget.
+      const bool keep = task.reason == ExitReason::kDone && job &&
+                        !job->committed.Contains(task.task);
+      if (!keep)
+        orders.push_back(
+            {CommandKind::kForget, task.job, task.task, task.attempt, 0});
+      continue;
+    }
+    auto it = machine->tasks.find(key);
+    const bool ours =
+        it != machine->tasks.end() && it->second.attempt == task.attempt;
+    if (!ours || it->second.stop) {
+      // While it saves, the order to stop is not repeated: a second one with no
+      // grace would end it.
+      if (ours && task.state == TaskState::kSaving && it->second.job_live)
+        continue;
+      orders.push_back({CommandKind::kStop, task.job, task.task, task.attempt,
+                        ours ? it->second.stop_grace_s : 0});
+    }
+  }
+  if (!leadership_->MayLaunch() || !placement_.Usable(*machine)) {
+    // Guards against a launch by a leader that others may have replaced.
+    for (auto it = machine->tasks.begin(); it != machine->tasks.end();) {
+      auto next = std::next(it);
+      if (it->second.phase == PlacedPhase::kAssigned) DropTask(machine, it);
+      it = next;
+    }
+    return orders;
+  }
+  for (auto& [key, placed] : machine->tasks) {
+    if (placed.phase != PlacedPhase::kAssigned) continue;
+    placed.phase = PlacedPhase::kSent;
+    placed.sent_session = report.session;
+    placed.sent_sequence = report.sequence;
+    placed.sent_at = context_->now;
+    orders.push_back(
+        {CommandKind::kStart, key.first, key.second, placed.attempt, 0});
+  }
+  return orders;
+}
+
+void Scheduler::Record(Machine* machine) {
+  if (machine->recording || !machine->type) return;
+  machine->recording = true;
+  MachineRecord record{machine->name, machine->type_name, machine->zone,
+                       machine->address, machine->spot};
+  // Before anything is placed there, so that a later leader knows of it.
+  writer_.Put(keys::Machine(machine->name), wire::EncodeMachineRecord(record),
+              [this, name = machine->name] {
+                if (Machine* m = machines_.Find(name)) {
+                  m->recorded = true;
+                  fleet_.Settled(name);
+                }
+              });
+}
+
+// --- Time ------------------------------------------------------------------------------
+
+void Scheduler::Tick() {
+  if (!leadership_->leading()) return;
+  if (!active_) {
+    if (next_policy_ > 0 && context_->now >= next_policy_) {
+      next_policy_ = 0;
+      Load();
+    }
+    return;
+  }
+  writer_.Tick();
+  fleet_.Tick();
+  if (context_->now >= next_write_) {
+    next_write_ = context_->now + kFinishBatchS;
+    WriteFinished();
+  }
+  if (context_->now >= next_policy_) {
+    next_policy_ = context_->now + 1;
+    waiting_.Tick();
+  }
+  if (context_->now >= next_silence_) {
+    next_silence_ = context_->now + 0.5;
+    WatchSilent();
+  }
+  if (context_->now >= next_place_) {
+    next_place_ = context_->now + kPlaceEveryS;
+    if (leadership_->MayLaunch()) placement_.Pass(leadership_->term());
+  }
+}
+
+void Scheduler::CountUnaccounted() {
+  int machines = 0;
+  double cpus = 0, gpus = 0;
+  for (const auto& [name, machine] : machines_.all()) {
+    if (!machine->inherited && !unknown_tasks_.count(name)) continue;
+    if (machine->inherited) ++machines;
+    // A machine of a type that is not known yet may hold anything.
+    cpus += machine->type ? machine->type->cpus : 1e9;
+    gpus += machine->type ? machine->type->gpus : 1e9;
+  }
+  placement_.set_unaccounted(machines, cpus, gpus);
+}
+
+void Scheduler::WatchSilent() {
+  const double silence = kSilentReports * settings_->report_s;
+  const double lease = settings_->lease_s * (1 + kClockDrift) + 1;
+  // How long an earlier leader's answers may have kept a machine's tasks.
+  const double reach = elected_at_ + leadership_->answer_reach_s() + lease;
+  int silent = 0, expected = 0;
+  for (const auto& [name, machine] : machines_.all()) {
+    if (!machine->ever_reported) continue;
+    ++expected;
+    if (context_->now - machine->last_heard > silence) ++silent;
+  }
+  const bool few = silent <= std::max(1.0, expected * kEarlyReleaseShare);
+  for (auto& [name, machine] : machines_.all()) {
+    Machine* m = machine.get();
+    if (!m->ever_reported || m->releasing) continue;
+    const double quiet = context_->now - m->last_heard;
+    if ((m->inherited || quiet > silence) && !m->address.empty() &&
+        !m->pushing && context_->now >= m->next_push)
+      Push(m);
+    if (quiet <= silence) continue;
+    // What was chosen for it but not sent goes elsewhere.
+    for (auto it = m->tasks.begin(); it != m->tasks.end();) {
+      auto next = std::next(it);
+      if (it->second.phase == PlacedPhase::kAssigned) DropTask(m, it);
+      it = next;
+    }
+    const double lost_at = m->inherited ? reach : m->last_answered + lease;
+    if (context_->now > lost_at && (!m->tasks.empty() || m->inherited)) {
+      context_->Info(name + " has been silent for its lease: its tasks are gone");
+      DropAll(m);
+      m->finished.clear();
+    }
+    if (few && quiet > silence + kDirectTimeoutS + kPushEveryS)
+      fleet_.Return(m, "it is silent");
+    else if (context_->now > lost_at + kLostReturnS + 2 * settings_->lease_s)
+      fleet_.Return(m, "it has been silent for long");
+  }
+}
+
+// Shows a machine our token, whoever it reports to, and reads what it holds.
+void Scheduler::Push(Machine* machine) {
+  machine->pushing = true;
+  machine->next_push = context_->now + kPushEveryS;
+  DirectCommand command;
+  command.machine = machine->name;
+  command.address = machine->address;
+  command.token = leadership_->term();
+  command.session = machine->session;
+  context_->Direct(
+      std::move(command), [this, name = machine->name,
+                           generation = generation_](const DirectResult& result) {
+        if (generation != generation_) return;
+        Machine* m = machines_.Find(name);
+        if (!m) return;
+        m->pushing = false;
+        if (!result.answered || result.report.machine != name) return;
+        if (std::make_pair(result.report.session, result.report.sequence) >
+            std::make_pair(m->session, m->sequence))
+          Hear(m, result.report, /*direct=*/true);
+      });
+}
+
+// --- Writing down -----------------------------------------------------------------------
+
+void Scheduler::WriteFinished() {
+  std::vector<std::string> handled;
+  for (const std::string& id : unfinished_writes_) {
+    Job* job = jobs_.Find(id);
+    if (!job || job->finishing) {
+      if (!job) handled.push_back(id);
+      continue;
+    }
+    if (job->done.size() == job->spec().tasks) {
+      if (writer_.Allows(2)) Finish(job);
+      continue;
+    }
+    if (!writer_.Allows(1)) break;
+    const uint32_t chunks =
+        (job->spec().tasks + kTasksPerProgressKey - 1) / kTasksPerProgressKey;
+    for (uint32_t chunk = 0; chunk < chunks; ++chunk) {
+      const uint32_t begin = chunk * kTasksPerProgressKey;
+      const uint32_t end =
+          std::min(begin + kTasksPerProgressKey, job->spec().tasks);
+      IntervalSet now_done;
+      bool news = false;
+      for (const auto& [first, last] : job->done.ranges()) {
+        for (uint32_t n = std::max(first, begin); n < std::min(last, end); ++n) {
+          now_done.Add(n);
+          news = news || !job->committed.Contains(n);
+        }
+      }
+      if (!news) continue;
+      progress_keys_[id].insert(chunk);
+      writer_.Put(keys::Progress(id, chunk),
+                  wire::EncodeProgress(
+                      EncodeBits(job->done, chunk, job->spec().tasks)),
+                  [this, id, now_done] {
+                    Job* written = jobs_.Find(id);
+                    if (!written) return;
+                    for (const auto& [first, last] : now_done.ranges())
+                      for (uint32_t n = first; n < last; ++n)
+                        if (!written->committed.Contains(n))
+                          written->committed.Add(n);
+                  });
+    }
+    handled.push_back(id);
+  }
+  for (const std::string& id : handled) unfinished_writes_.erase(id);
+}
+
+// The end of a job: its live key goes and its final key comes, together.
+// Guarded by the live key, so that a cancellation that came first wins.
+void Scheduler::Finish(Job* job) {
+  job->finishing = true;
+  const std::string id = job->id();
+  std::vector<StateOp> ops = {
+      {true, keys::Live(id), "", 0},
+      {false, keys::Final(id), wire::EncodeFinal(FinalState::kDone), 0}};
+  writer_.Commit(
+      {{keys::Live(id), job->version}}, std::move(ops),
+      [this, id](const StateResult& result) {
+        if (result.outcome == Outcome::kOk) {
+          directory_->LearnFinal(id, FinalState::kDone);
+          return;
+        }
+        if (Job* unfinished = jobs_.Find(id)) unfinished->finishing = false;
+        if (result.outcome != Outcome::kConflict) return;  // tried again
+        // Cancelled, or an earlier try was carried out: the final key tells.
+        context_->Get(StateLane::kLeader, keys::Final(id),
+                      [this, id](const StateResult& got) {
+                        FinalState state;
+                        if (got.outcome == Outcome::kOk && !got.items.empty() &&
+                            wire::ParseFinal(got.items[0].value, &state))
+                          directory_->LearnFinal(id, state);
+                      });
+      });
+}
+
+std::vector<JobCounts> Scheduler::Counts() {
+  std::vector<JobCounts> counts;
+  if (!active_) return counts;
+  for (const auto& [id, job] : jobs_.all())
+    counts.push_back({id, job->done.size(),
+                      static_cast<uint32_t>(job->placed.size())});
+  return counts;
+}
+
+Scheduler::Figures Scheduler::Measure() {
+  Figures f;
+  f.jobs = jobs_.all().size();
+  for (const auto& [id, job] : jobs_.all()) {
+    f.pending += job->pending.size();
+    f.placed += job->placed.size();
+  }
+  f.machines = machines_.all().size();
+  for (const auto& [name, machine] : machines_.all())
+    if (machine->base) ++f.base_machines;
+  f.unaccounted = placement_.unaccounted();
+  f.base_target_cpus = fleet_.base_target_cpus();
+  f.predictor_error_s = waiting_.predictor().mean_error_s();
+  f.predictor_matthews = waiting_.predictor().matthews();
+  f.predictor_samples = waiting_.predictor().samples();
+  f.speculative_kills = waiting_.killed();
+  f.rented_to_end = waiting_.rented();
+  return f;
+}
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/scheduler.h
@@ -0,0 +1,97 @@
+// The leader's work: hears the machines, places tasks, writes down what is
+// finished, and deals with what fails.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/context.h"
+#include "core/directory.h"
+#include "core/fleet.h"
+#include "core/job_table.h"
+#include "core/leadership.h"
+#include "core/machine_table.h"
+#include "core/placement.h"
+#include "core/waiting_policy.h"
+#include "core/writer.h"
+
+namespace sorrelwood {
+
+class Scheduler {
+ public:
+  Scheduler(Context* context, Directory* directory, Leadership* leadership,
+            const ClusterSettings* settings, const PolicySettings& policy,
+            uint64_t seed);
+
+  void Elected();
+  void Deposed();
+  void Tick();
+  void LearnCatalog(const std::vector<MachineType>& types);
+  void JobAppeared(const std::string& id);
+  void JobEnded(const std::string& id, FinalState state);
+  // A report to which this node may answer as leader.
+  void Report(uint64_t request, const WorkerReport& report);
+  std::vector<JobCounts> Counts();
+
+  struct Figures {
+    size_t jobs = 0, pending = 0, placed = 0, machines = 0, base_machines = 0;
+    int unaccounted = 0;
+    double base_target_cpus = 0;
+    double predictor_error_s = 0, predictor_matthews = 0;
+    size_t predictor_samples = 0;
+    uint64_t speculative_kills = 0, rented_to_end = 0;
+  };
+  Figures Measure();
+
+ private:
+  void Load();
+  void LoadMachines(const StateResult& result);
+  void LoadProgress(const StateResult& result);
+  void Activate(const StateResult& rents);
+  void LoadFailed();
+
+  // Takes what a machine says of itself. `direct`: it came in answer to a
+  // direct command, and may have crossed a launch that is under way.
+  void Hear(Machine* machine, const WorkerReport& report, bool direct);
+  void NewSession(Machine* machine, uint64_t session);
+  void HearTask(Machine* machine, const TaskReport& task);
+  void HearExit(Machine* machine, const TaskReport& task, Placed* placed);
+  void Adopt(Machine* machine, const TaskReport& task);
+  void DropTask(Machine* machine, std::map<TaskKey, Placed>::iterator it);
+  void DropAll(Machine* machine);
+  void Completed(Job* job, uint32_t task);
+  void Failed(Machine* machine, Job* job);
+  void NoticeGiven(Machine* machine);
+  std::vector<Command> Orders(Machine* machine, const WorkerReport& report);
+  void Record(Machine* machine);
+  void WatchSilent();
+  void Push(Machine* machine);
+  void CountUnaccounted();
+  void WriteFinished();
+  void Finish(Job* job);
+
+  Context* context_;
+  Directory* directory_;
+  Leadership* leadership_;
+  const ClusterSettings* settings_;
+  PolicySettings policy_;
+  JobTable jobs_;
+  MachineTable machines_;
+  Placement placement_;
+  Writer writer_;
+  Fleet fleet_;
+  WaitingPolicy waiting_;
+
+  bool active_ = false;
+  uint64_t generation_ = 0;
+  double elected_at_ = 0;
+  double next_place_ = 0, next_silence_ = 0, next_write_ = 0, next_policy_ = 0;
+  std::map<std::string, IntervalSet> progress_;  // while loading
+  // Progress keys that exist, so that the end of a job removes them.
+  std::map<std::string, std::set<uint32_t>> progress_keys_;
+  std::set<std::string> unfinished_writes_;  // jobs with unwritten completions
+  std::map<std::string, uint64_t> unknown_tasks_;  // machine -> tasks of no job
+};
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/types.h
@@ -0,0 +1,174 @@
+// The terms of the core: jobs, tasks, attempts, machines, sessions, tokens.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sorrelwood {
+
+enum class Priority { kLow = 0, kStandard = 1, kHigh = 2, kProduction = 3 };
+
+struct JobSpec {
+  std::string id;
+  std::string job_class;
+  std::string team;
+  Priority priority = Priority::kStandard;
+  uint32_t tasks = 0;
+  double cpus = 0, gpus = 0, memory_gb = 0;
+  std::string image;
+  double image_gb = 0;
+  std::vector<std::string> types;  // empty: any
+  std::string zone;                // empty: any
+  bool one_zone = false;
+  bool spread = false;
+  bool spot = false;
+  double estimate_s = 0;
+  double checkpoint_s = 0;
+  double save_s = 0;
+  std::optional<double> deadline_s;
+};
+
+struct MachineType {
+  std::string name;
+  double cpus = 0, gpus = 0, memory_gb = 0;
+  double cache_gb = 0, fetch_gb_per_s = 0;
+  double price = 0, spot_price = 0;
+  double boot_s = 0;
+  std::vector<std::string> zones;
+};
+
+struct Team {
+  std::string name;
+  double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;
+};
+
+struct Objective {
+  std::string kind;
+  std::string job_class;
+  double within_s = 0;
+};
+
+struct Sibling {
+  std::string name, zone, address;
+};
+
+// What the platform's settings file says, in the core's terms.
+struct ClusterSettings {
+  std::string node;
+  std::string zone;
+  std::string listen;
+  std::string mesh_listen;
+  std::vector<Sibling> siblings;
+  std::string cloud_address, state_address;
+  std::vector<Team> teams;
+  std::vector<Objective> objectives;
+  double report_s = 2, lease_s = 14, cancel_s = 40;
+  double state_rps = 150, state_write_rps = 60;
+  double state_value_kb = 8;
+  int state_txn_ops = 16;
+  double cloud_rps = 4, list_lag_s = 5;
+  int sockets = 1000;
+};
+
+// The operators' own settings (operator.proto), checked.
+struct PolicySettings {
+  double speculation_s = 900;       // t
+  double wait_limit_s = 10800;      // b
+  double hold_s = 25;               // idle time before a rented machine goes
+  double drain_s = 60;              // backlog that is let wait for running room
+  double base_share = 0.25;         // base at the start, of all guarantees
+  double base_memory_s = 120;       // how slowly the base follows the load
+  bool use_spot = true;
+  double refit_s = 180;
+  int tree_depth = 4;
+  int tree_leaf = 8;
+  int tree_count = 5;
+  int tree_samples = 2000;
+};
+
+enum class TaskState { kFetching, kRunning, kSaving, kExited };
+enum class ExitReason {
+  kNone,
+  kDone,
+  kStopped,
+  kError,
+  kNoRoom,
+  kBusy,
+  kUnknown
+};
+
+struct TaskReport {
+  std::string job;
+  uint32_t task = 0;
+  uint64_t attempt = 0;
+  TaskState state = TaskState::kRunning;
+  ExitReason reason = ExitReason::kNone;
+  bool saved = false;
+};
+
+struct WorkerReport {
+  std::string machine, address, type, zone;
+  bool spot = false;
+  uint64_t session = 0, sequence = 0, token = 0;
+  std::optional<double> notice_s;
+  std::vector<TaskReport> tasks;
+};
+
+enum class CommandKind { kStart, kStop, kForget };
+struct Command {
+  CommandKind kind = CommandKind::kStart;
+  std::string job;
+  uint32_t task = 0;
+  uint64_t attempt = 0;
+  double grace_s = 0;
+};
+
+enum class MachineStatus { kBooting, kRunning, kFailed };
+struct ListedMachine {
+  std::string name, address, type, zone;
+  bool spot = false;
+  MachineStatus status = MachineStatus::kBooting;
+  double age_s = 0;
+};
+
+enum class FinalState { kDone, kCancelled };
+
+// Records in the state service.
+struct LiveJob {
+  JobSpec spec;
+  double submitted_wall_s = 0;
+};
+struct LeaderRecord {
+  std::string node;
+  uint64_t term = 0;
+};
+struct RentRecord {
+  std::string name, type, zone;
+  bool spot = false;
+  int count = 0;
+  bool answered = false;
+  std::vector<std::string> machines;
+};
+struct MachineRecord {
+  std::string name, type, zone, address;
+  bool spot = false;
+};
+
+struct JobCounts {
+  std::string id;
+  uint32_t done = 0, running = 0;
+};
+
+// What the controllers tell each other once a second.
+struct MeshNote {
+  std::string node;
+  uint64_t incarnation = 0;
+  uint64_t sequence = 0;
+  uint64_t term = 0;        // highest term known
+  bool leader = false;
+  std::vector<JobCounts> jobs;  // only from the leader
+};
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/waiting_policy.cc
@@ -0,0 +1,91 @@
+#include "core/waiting_policy.h"
+
+#include <algorithm>
+#include <set>
+
+namespace sorrelwood {
+
+WaitFeatures WaitingPolicy::Observe(double cpus) {
+  WaitFeatures f;
+  f.cpus = cpus;
+  double owned_cpus = 0, used_cpus = 0, owned_gb = 0, used_gb = 0, age = 0;
+  for (const auto& [name, machine] : machines_->all()) {
+    if (!machine->base || !machine->type) continue;
+    owned_cpus += machine->type->cpus;
+    owned_gb += machine->type->memory_gb;
+    used_cpus += machine->cpus_used;
+    used_gb += machine->memory_used;
+    for (const auto& [key, placed] : machine->tasks) {
+      f.running += 1;
+      if (placed.running_since > 0) age += context_->now - placed.running_since;
+    }
+  }
+  if (owned_cpus > 0) f.cpu_utilisation = used_cpus / owned_cpus;
+  if (owned_gb > 0) f.memory_utilisation = used_gb / owned_gb;
+  if (f.running > 0) {
+    f.running_mean_cpus = used_cpus / f.running;
+    f.running_mean_age_s = age / f.running;
+  }
+  double waiting_cpus = 0, waiting_age = 0;
+  for (const Job* job : jobs_->queue()) {
+    const double count = job->pending.size();
+    f.waiting += count;
+    waiting_cpus += count * job->spec().cpus;
+    waiting_age += count * (context_->now - job->queued_at);
+  }
+  if (f.waiting > 0) {
+    f.waiting_mean_cpus = waiting_cpus / f.waiting;
+    f.waiting_mean_age_s = waiting_age / f.waiting;
+  }
+  return f;
+}
+
+void WaitingPolicy::LearnStart(Job* job, const Machine& machine) {
+  if (job->sampled || !machine.base || job->features.empty()) return;
+  job->sampled = true;
+  FeatureVector features;
+  std::copy(job->features.begin(), job->features.end(), features.begin());
+  predictor_.Learn(features, context_->now - job->queued_at);
+}
+
+void WaitingPolicy::Tick() {
+  if (next_fit_ < 0) next_fit_ = context_->now + policy_.refit_s;
+  if (context_->now >= next_fit_) {
+    next_fit_ = context_->now + policy_.refit_s;
+    predictor_.Fit();
+  }
+  for (Job* job : jobs_->queue()) {
+    if (job->features.empty()) {
+      const FeatureVector features = ToVector(Observe(job->spec().cpus));
+      job->features.assign(features.begin(), features.end());
+    }
+    std::vector<uint32_t> overdue;
+    for (const auto& [task, since] : job->waiting)
+      if (context_->now - since >= policy_.wait_limit_s) overdue.push_back(task);
+    for (uint32_t task : overdue) {
+      job->waiting.erase(task);
+      if (!job->rented.Contains(task)) job->rented.Add(task);
+      ++rented_;
+    }
+  }
+  for (const auto& [name, machine] : machines_->all()) {
+    if (machine->base) continue;
+    for (auto& [key, placed] : machine->tasks) {
+      if (!placed.speculative || placed.stop || placed.running_since == 0 ||
+          context_->now - placed.running_since < policy_.speculation_s)
+        continue;
+      Job* job = jobs_->Find(key.first);
+      if (!job) continue;
+      // Until the first fit all jobs wait.
+      const auto wait =
+          predictor_.Predict(ToVector(Observe(job->spec().cpus)));
+      placed.stop = true;
+      placed.stop_grace_s = job->spec().checkpoint_s > 0 ? job->spec().save_s : 0;
+      placed.requeue_waiting = !wait || *wait < policy_.wait_limit_s;
+      placed.requeue_rented = !placed.requeue_waiting;
+      ++killed_;
+    }
+  }
+}
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/core/writer.h
@@ -0,0 +1,52 @@
+// The leader's writes: batched, paced under the state service's rate, each
+// guarded by the leader key.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "core/context.h"
+#include "core/leadership.h"
+
+namespace sorrelwood {
+
+class Writer {
+ public:
+  using Done = std::function<void()>;
+
+  Writer(Context* context, Leadership* leadership,
+         const ClusterSettings* settings);
+
+  // Repeated until it is committed; a later write of the same key replaces one
+  // that has not left yet. `done` runs once the key is written.
+  void Put(const std::string& key, std::string value, Done done = nullptr);
+  void Remove(const std::string& key);
+  // A transaction of its own, tried once.
+  void Commit(std::vector<Guard> guards, std::vector<StateOp> ops,
+              StateCallback done);
+  // Whether `ops` more changes fit under the rate now.
+  bool Allows(size_t ops) const { return tokens_ >= static_cast<double>(ops); }
+
+  void Tick();
+  void Clear();
+
+ private:
+  struct Entry {
+    StateOp op;
+    Done done;
+  };
+  void Send();
+
+  Context* context_;
+  Leadership* leadership_;
+  const ClusterSettings* settings_;
+  std::map<std::string, Entry> waiting_;
+  std::deque<std::string> order_;
+  int in_flight_ = 0;
+  uint64_t generation_ = 0;  // results of an earlier term are ignored
+  double tokens_ = 0, refilled_at_ = 0, next_send_ = 0;
+};
+
+}  // namespace sorrelwood
--- /dev/null
+++ b/src/mesh/mesh.capnp
@@ -0,0 +1,20 @@
+@0xb0d3f6a1c2947e58;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("sorrelwood::mesh");
+
+# What a controller tells the others about once a second.
+struct Note {
+  node @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  term @3 :UInt64;     # the highest it knows of
+  leader @4 :Bool;
+  jobs @5 :List(Counts);  # from the leader: jobs whose counts have changed
+
+  struct Counts {
+    job @0 :Text;
+    done @1 :UInt32;
+    running @2 :UInt32;
+  }
+}
--- /dev/null
+++ b/src/wire/json.h
@@ -0,0 +1,62 @@
+// The published protocol's JSON, and only here its words. Every parser checks
+// what it reads and says what is wrong; none throws.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/actions.h"
+#include "core/types.h"
+
+namespace sorrelwood::wire {
+
+// --- Users ---------------------------------------------------------------------
+bool ParseSubmission(const std::string& body, JobSpec* spec, std::string* error);
+bool ValidJobId(const std::string& id);
+std::string EncodeStatus(const std::string& id, const std::string& status);
+std::string EncodeStatus(const std::string& id, const std::string& status,
+                         uint32_t done, uint32_t running);
+std::string EncodeError(const std::string& message);
+
+// --- Workers -------------------------------------------------------------------
+bool ParseReport(const std::string& body, WorkerReport* report,
+                 std::string* error);
+std::string EncodeWorkerAnswer(const AnswerWorker& answer);
+std::string EncodeDirectCommand(const DirectCommand& command);
+
+// --- Cloud ---------------------------------------------------------------------
+std::string EncodeRent(const RentRecord& rent);
+std::string EncodeRelease(const std::vector<std::string>& machines);
+bool ParseCatalog(const std::string& body, std::vector<MachineType>* types);
+bool ParseMachineNames(const std::string& body, std::vector<std::string>* names);
+bool ParseMachineList(const std::string& body, std::vector<ListedMachine>* list,
+                      bool* more);
+
+// --- State service ---------------------------------------------------------------
+std::string EncodeTransaction(const StateTransaction& transaction);
+std::string EncodeLease(double ttl_s);
+// Each fills what the answer carries; false when it makes no sense.
+bool ParseRevision(const std::string& body, StateResult* result);
+bool ParseItem(const std::string& body, StateResult* result);
+bool ParseItems(const std::string& body, StateResult* result, bool* more);
+bool ParseLease(const std::string& body, StateResult* result);
+bool ParseEvents(const std::string& body, StateResult* result);
+
+// --- Our own records in the state service -------------------------------------------
+std::string EncodeLiveJob(const LiveJob& job);
+bool ParseLiveJob(const std::string& text, LiveJob* job);
+std::string EncodeFinal(FinalState state);
+bool ParseFinal(const std::string& text, FinalState* state);
+std::string EncodeLeader(const LeaderRecord& leader);
+bool ParseLeader(const std::string& text, LeaderRecord* leader);
+std::string EncodeTerm(uint64_t term);
+bool ParseTerm(const std::string& text, uint64_t* term);
+std::string EncodeRentRecord(const RentRecord& rent);
+bool ParseRentRecord(const std::string& text, RentRecord* rent);
+std::string EncodeMachineRecord(const MachineRecord& machine);
+bool ParseMachineRecord(const std::string& text, MachineRecord* machine);
+std::string EncodeProgress(const std::string& bits_hex);
+bool ParseProgress(const std::string& text, std::string* bits_hex);
+
+}  // namespace sorrelwood::wire
