--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -93,6 +93,14 @@
 // Above this many machines a pass looks at a sample of them.
 inline constexpr size_t kSampleMachines = 64;
 
+// Owners' run time estimates: the least that is believed (s), the furthest that
+// a class may be off, and the weight of one more task seen.
+inline constexpr double kLeastEstimateS = 1.0;
+inline constexpr double kMostEstimateRatio = 3.0;
+inline constexpr double kEstimateLearning = 0.02;
+// How often the queue's order is judged anew (s).
+inline constexpr double kRankEveryS = 0.5;
+
 // --- Cloud ------------------------------------------------------------------------
 inline constexpr double kCloudTimeoutS = 5.0;
 // Share of the cloud's call rate that is used.
@@ -103,6 +111,8 @@
 inline constexpr double kRefusedOfferS = 12.0;
 // The same after a 429 or an outage of the cloud (s).
 inline constexpr double kCloudTroubleS = 3.0;
+// Room that is kept beyond the work there is before dearer machines are emptied.
+inline constexpr double kSurplusMargin = 1.15;
 // A machine that takes this many times its boot time is given up.
 inline constexpr double kBootPatience = 2.5;
 inline constexpr double kBootPatienceMinS = 30.0;
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -43,7 +43,7 @@
   }
   double guaranteed = 0;
   for (const Team& team : settings_->teams) guaranteed += team.cpus;
-  base_target_ = guaranteed * policy_.base_share;
+  base_most_ = base_target_ = load_ = guaranteed * policy_.base_share;
 }
 
 void Fleet::Clear() {
@@ -76,6 +76,7 @@
   if (context_->now >= next_plan_) {
     next_plan_ = context_->now + 1;
     ChooseBase();
+    ChooseSurplus();
     ReturnIdle();
     Plan();
   }
@@ -227,7 +228,7 @@
   if (type.memory_gb > 0)
     share = std::max(share, spec.memory_gb / type.memory_gb);
   if (type.gpus > 0) share = std::max(share, spec.gpus / type.gpus);
-  return share * type.cpus * std::clamp(spec.estimate_s, 1.0, policy_.drain_s);
+  return share * type.cpus * std::min(jobs_->Estimate(spec), policy_.drain_s);
 }
 
 void Fleet::PlanJob(const Job& job, double* team_cpus_left,
@@ -288,9 +289,9 @@
       const Job* job = jobs_->Find(key.first);
       if (!job) continue;
       double part = 1;
-      if (placed.running_since > 0 && job->spec().estimate_s > 0)
+      if (placed.running_since > 0)
         part = std::clamp(1 - (context_->now - placed.running_since) /
-                                  job->spec().estimate_s,
+                                  jobs_->Estimate(job->spec()),
                           0.1, 1.0);
       room.core_seconds -= part * CoreSeconds(job->spec(), *machine->type);
     }
@@ -416,16 +417,69 @@
   writer_->Remove(keys::Rent(name));
 }
 
-// The oldest machines are the base, up to its target.
+double Fleet::PricePerCore(const Machine& machine) {
+  const double price =
+      machine.spot ? machine.type->spot_price : machine.type->price;
+  return price / std::max(1.0, machine.type->cpus);
+}
+
+// The cheapest machines, the oldest among equals, are the base, up to its
+// target. The target follows the load that is seen, under the operators' share
+// of the guarantees.
 void Fleet::ChooseBase() {
-  double cpus = 0;
+  std::vector<Machine*> usable;
+  double used = 0;
   for (auto& [name, machine] : machines_->all()) {
-    const bool counts = machine->type && machine->ever_reported &&
-                        !machine->releasing && !machine->set_aside &&
-                        machine->notice_until == 0;
-    machine->base = counts && cpus < base_target_;
+    machine->base = false;
+    used += machine->cpus_used;
+    if (machine->type && machine->ever_reported && !machine->releasing &&
+        !machine->set_aside && machine->notice_until == 0)
+      usable.push_back(machine.get());
+  }
+  // Until the first machines are up there is no load to be seen.
+  if (!usable.empty())
+    load_ += (used - load_) * std::min(1.0, 1 / policy_.base_memory_s);
+  base_target_ = std::min(base_most_, load_);
+  std::stable_sort(usable.begin(), usable.end(),
+                   [](const Machine* a, const Machine* b) {
+                     return PricePerCore(*a) < PricePerCore(*b);
+                   });
+  double cpus = 0;
+  for (Machine* machine : usable) {
+    machine->base = cpus < base_target_;
     if (machine->base) cpus += machine->type->cpus;
   }
 }
 
+// When the cheaper machines can do all the work there is within the drain time,
+// the dearer ones get no more of it: they empty and go.
+void Fleet::ChooseSurplus() {
+  std::vector<Machine*> up;
+  double capacity = 0, demand = 0;
+  for (auto& [name, machine] : machines_->all()) {
+    machine->surplus = false;
+    if (!machine->type || !machine->ever_reported || machine->releasing ||
+        machine->set_aside || machine->notice_until > 0)
+      continue;
+    up.push_back(machine.get());
+    capacity += machine->type->cpus;
+    for (const auto& [key, placed] : machine->tasks)
+      if (const Job* job = jobs_->Find(key.first))
+        demand += CoreSeconds(job->spec(), *machine->type);
+  }
+  if (up.empty()) return;
+  for (const Job* job : jobs_->queue())
+    demand += job->pending.size() * CoreSeconds(job->spec(), *up[0]->type);
+  demand /= policy_.drain_s;
+  std::stable_sort(up.begin(), up.end(), [](const Machine* a, const Machine* b) {
+    return PricePerCore(*a) > PricePerCore(*b);
+  });
+  for (Machine* machine : up) {
+    if (machine->base) break;
+    if ((capacity - machine->type->cpus) < demand * kSurplusMargin) continue;
+    machine->surplus = true;
+    capacity -= machine->type->cpus;
+  }
+}
+
 }  // namespace sorrelwood
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -82,7 +82,9 @@
   void Begin(const Offer& offer, int count);
   void CallRent(const std::string& name);
   void EndRent(const std::string& name);
+  static double PricePerCore(const Machine& machine);
   void ChooseBase();
+  void ChooseSurplus();
   void ReturnIdle();
   void SendReturns();
 
@@ -105,7 +107,8 @@
   bool listing_ = false;
   double next_list_ = 0, next_plan_ = 0;
   double calls_ = 0, calls_at_ = 0;
-  double base_target_ = 0;
+  double base_target_ = 0, base_most_ = 0;
+  double load_ = 0;  // CPUs in use, smoothed
 };
 
 }  // namespace sorrelwood
--- a/src/core/job_table.cc
+++ b/src/core/job_table.cc
@@ -42,8 +42,10 @@
     queue_.clear();
     for (auto& [id, job] : jobs_) queue_.push_back(job.get());
     std::sort(queue_.begin(), queue_.end(), [](const Job* a, const Job* b) {
+      if (a->guaranteed != b->guaranteed) return a->guaranteed;
       if (a->spec().priority != b->spec().priority)
         return a->spec().priority > b->spec().priority;
+      if (a->late != b->late) return b->late;
       if (a->record->submitted_wall_s != b->record->submitted_wall_s)
         return a->record->submitted_wall_s < b->record->submitted_wall_s;
       return a->id() < b->id();
@@ -53,6 +55,45 @@
   return queue_;
 }
 
+void JobTable::Rank(const std::vector<Team>& teams, double wall) {
+  std::vector<Job*> by_arrival;
+  for (auto& [id, job] : jobs_) by_arrival.push_back(job.get());
+  std::sort(by_arrival.begin(), by_arrival.end(), [](const Job* a, const Job* b) {
+    return a->record->submitted_wall_s < b->record->submitted_wall_s;
+  });
+  std::map<std::string, TeamUse> earlier;
+  for (Job* job : by_arrival) {
+    const JobSpec& spec = job->spec();
+    const auto team =
+        std::find_if(teams.begin(), teams.end(),
+                     [&](const Team& t) { return t.name == spec.team; });
+    TeamUse& use = earlier[spec.team];
+    const double left = spec.tasks - job->done.size();
+    use.cpus += left * spec.cpus;
+    use.gpus += left * spec.gpus;
+    job->guaranteed = team != teams.end() && use.cpus <= team->cpus &&
+                      use.gpus <= team->gpus;
+    job->late = spec.deadline_s &&
+                wall + Estimate(spec) >
+                    job->record->submitted_wall_s + *spec.deadline_s;
+  }
+  queue_stale_ = true;
+}
+
+double JobTable::Estimate(const JobSpec& spec) const {
+  auto ratio = estimate_ratio_.find(spec.job_class);
+  return std::max(kLeastEstimateS, spec.estimate_s) *
+         (ratio == estimate_ratio_.end() ? 1.0 : ratio->second);
+}
+
+void JobTable::LearnRunTime(const JobSpec& spec, double ran_s) {
+  const double ratio =
+      std::clamp(ran_s / std::max(kLeastEstimateS, spec.estimate_s),
+                 1 / kMostEstimateRatio, kMostEstimateRatio);
+  double& known = estimate_ratio_.try_emplace(spec.job_class, 1.0).first->second;
+  known += (ratio - known) * kEstimateLearning;
+}
+
 void JobTable::Place(Job* job, uint32_t task, const std::string& machine,
                      const std::string& zone) {
   job->pending.Remove(task);
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -36,6 +36,10 @@
   double retry_at = 0;
   bool finishing = false;  // the final transaction is under way
 
+  // Where it stands in the queue, see JobTable::Rank.
+  bool guaranteed = false;
+  bool late = false;
+
   double queued_at = 0;  // steady time at which this leader saw it
   bool sampled = false;  // its wait has been taken as a sample
   std::vector<double> features;
@@ -56,8 +60,12 @@
   void Clear();
   Job* Find(const std::string& id);
 
-  // By priority, then by arrival: the order in which work is looked at.
+  // The order in which work is looked at. First what lies within its team's
+  // guarantee, since that need not wait for other teams; then by priority; then
+  // what can still meet its deadline before what can't; then by arrival.
   const std::vector<Job*>& queue();
+  // Judges anew what lies within a guarantee and what is late.
+  void Rank(const std::vector<Team>& teams, double wall);
   std::map<std::string, std::unique_ptr<Job>>& all() { return jobs_; }
 
   // A task leaves or enters the pending set; the team's use follows.
@@ -67,6 +75,11 @@
   void Unplace(Job* job, uint32_t task, const std::string& zone);
   void MarkDone(Job* job, uint32_t task);
 
+  // Run time of a task: the owner's estimate, corrected by how far the estimates
+  // of the job's class have been off.
+  double Estimate(const JobSpec& spec) const;
+  void LearnRunTime(const JobSpec& spec, double ran_s);
+
   const TeamUse& use(const std::string& team) { return use_[team]; }
   // Use of tasks whose job has ended but that may still be on a machine.
   void AddStray(const std::string& team, double cpus, double gpus);
@@ -76,6 +89,7 @@
   std::vector<Job*> queue_;
   bool queue_stale_ = true;
   std::map<std::string, TeamUse> use_;
+  std::map<std::string, double> estimate_ratio_;  // by class
 };
 
 // The completed tasks of one progress key as hexadecimal bits, and back.
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -89,12 +89,12 @@
                             const std::vector<Machine*>& candidates,
                             bool owned_only) const {
   Machine* best = nullptr;
-  std::tuple<bool, double, bool> best_rank;
+  std::tuple<bool, bool, double, bool> best_rank;
   for (Machine* machine : candidates) {
     if (owned_only && !machine->base) continue;
     if (!machine->Fits(job.spec()) || !Allowed(job, *machine)) continue;
-    const std::tuple<bool, double, bool> rank{
-        !machine->base, machine->cpus_free(),
+    const std::tuple<bool, bool, double, bool> rank{
+        machine->surplus, !machine->base, machine->cpus_free(),
         !machine->HasImage(job.spec().image)};
     if (best && !(rank < best_rank)) continue;
     best = machine;
@@ -130,7 +130,7 @@
 }
 
 void Placement::Fill(Machine* machine, uint64_t term) {
-  if (!Usable(*machine)) return;
+  if (!Usable(*machine) || machine->surplus) return;
   size_t looked_at = 0;
   for (Job* job : jobs_->queue()) {
     if (machine->cpus_free() <= 0) return;
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -143,6 +143,7 @@
   if (!known || jobs_.Find(id)) return;
   const bool inherited = known->version < leadership_->guard().version;
   Job* job = jobs_.Add(known->job, known->version, inherited, context_->now);
+  jobs_.Rank(settings_->teams, context_->wall);
   auto progress = progress_.find(id);
   if (progress == progress_.end()) return;
   for (const auto& [first, last] : progress->second.ranges()) {
@@ -341,10 +342,16 @@
   Job* job = jobs_.Find(task.job);
   const bool waiting = placed && placed->requeue_waiting;
   const bool rented = placed && placed->requeue_rented;
+  const double ran = placed && placed->running_since > 0
+                         ? context_->now - placed->running_since
+                         : 0;
   if (placed) DropTask(machine, machine->tasks.find(key));
   switch (task.reason) {
     case ExitReason::kDone:
       if (!job || task.task >= job->spec().tasks) return;
+      // A task that saved before may run only its rest: not a sample.
+      if (ran > 0 && job->spec().checkpoint_s == 0)
+        jobs_.LearnRunTime(job->spec(), ran);
       machine->error_streak = 0;
       machine->error_jobs.clear();
       machine->finished[key] = task.attempt;
@@ -437,7 +444,7 @@
     const double ran =
         placed.running_since > 0 ? context_->now - placed.running_since : 0;
     const bool ends = placed.running_since > 0 &&
-                      job->spec().estimate_s - ran < left * 0.5;
+                      jobs_.Estimate(job->spec()) - ran < left * 0.5;
     if (ends) continue;
     placed.stop = true;
     placed.stop_grace_s = job->spec().checkpoint_s > 0 &&
@@ -536,6 +543,10 @@
     next_silence_ = context_->now + 0.5;
     WatchSilent();
   }
+  if (context_->now >= next_rank_) {
+    next_rank_ = context_->now + kRankEveryS;
+    jobs_.Rank(settings_->teams, context_->wall);
+  }
   if (context_->now >= next_place_) {
     next_place_ = context_->now + kPlaceEveryS;
     if (leadership_->MayLaunch()) placement_.Pass(leadership_->term());
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -86,7 +86,8 @@
   bool active_ = false;
   uint64_t generation_ = 0;
   double elected_at_ = 0;
-  double next_place_ = 0, next_silence_ = 0, next_write_ = 0, next_policy_ = 0;
+  double next_place_ = 0, next_silence_ = 0, next_write_ = 0, next_policy_ = 0,
+         next_rank_ = 0;
   std::map<std::string, IntervalSet> progress_;  // while loading
   // Progress keys that exist, so that the end of a job removes them.
   std::map<std::string, std::set<uint32_t>> progress_keys_;
