--- a/src/core/job_table.cc
+++ b/src/core/job_table.cc
@@ -46,6 +46,8 @@
       if (a->spec().priority != b->spec().priority)
         return a->spec().priority > b->spec().priority;
       if (a->late != b->late) return b->late;
+      if (a->team_backlog_s != b->team_backlog_s)
+        return a->team_backlog_s > b->team_backlog_s;
       if (a->record->submitted_wall_s != b->record->submitted_wall_s)
         return a->record->submitted_wall_s < b->record->submitted_wall_s;
       return a->id() < b->id();
@@ -62,6 +64,7 @@
     return a->record->submitted_wall_s < b->record->submitted_wall_s;
   });
   std::map<std::string, TeamUse> earlier;
+  std::map<std::string, double> backlog_s;
   for (Job* job : by_arrival) {
     const JobSpec& spec = job->spec();
     const auto team =
@@ -71,12 +74,16 @@
     const double left = spec.tasks - job->done.size();
     use.cpus += left * spec.cpus;
     use.gpus += left * spec.gpus;
+    if (team != teams.end() && team->cpus_max > 0)
+      backlog_s[spec.team] +=
+          left * spec.cpus * Estimate(spec) / team->cpus_max;
     job->guaranteed = team != teams.end() && use.cpus <= team->cpus &&
                       use.gpus <= team->gpus;
     job->late = spec.deadline_s &&
                 wall + Estimate(spec) >
                     job->record->submitted_wall_s + *spec.deadline_s;
   }
+  for (Job* job : by_arrival) job->team_backlog_s = backlog_s[job->spec().team];
   queue_stale_ = true;
 }
 
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -39,6 +39,7 @@
   // Where it stands in the queue, see JobTable::Rank.
   bool guaranteed = false;
   bool late = false;
+  double team_backlog_s = 0;  // the team's work left, at its limit
 
   double queued_at = 0;  // steady time at which this leader saw it
   bool sampled = false;  // its wait has been taken as a sample
@@ -62,7 +63,8 @@
 
   // The order in which work is looked at. First what lies within its team's
   // guarantee, since that need not wait for other teams; then by priority; then
-  // what can still meet its deadline before what can't; then by arrival.
+  // what can still meet its deadline before what can't; then the team that would
+  // take longest for what it has at its limit; then by arrival.
   const std::vector<Job*>& queue();
   // Judges anew what lies within a guarantee and what is late.
   void Rank(const std::vector<Team>& teams, double wall);
--- /dev/null
+++ b/tests/adapter_test.cc
@@ -0,0 +1,138 @@
+// The HTTP adapters on loopback.
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <thread>
+
+#include "cloud/cloud_client.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "state/state_client.h"
+
+namespace sorrelwood {
+namespace {
+
+class LocalServer {
+ public:
+  explicit LocalServer(HttpHandler handler, size_t connections = 8)
+      : server_({"127.0.0.1", 0}, connections, std::move(handler)) {
+    EXPECT_TRUE(server_.Bind());
+    thread_ = std::thread([this] { server_.Serve(); });
+  }
+  ~LocalServer() {
+    server_.Stop();
+    thread_.join();
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(server_.port());
+  }
+  int port() const { return server_.port(); }
+
+ private:
+  HttpServer server_;
+  std::thread thread_;
+};
+
+// Sends raw bytes and returns all that comes back until the peer closes, or
+// until `enough` stands in it.
+std::string Raw(int port, const std::string& bytes, const std::string& enough) {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<uint16_t>(port));
+  inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+  EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
+            0);
+  EXPECT_EQ(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+            static_cast<ssize_t>(bytes.size()));
+  std::string got;
+  char buffer[4096];
+  for (;;) {
+    const ssize_t n = recv(fd, buffer, sizeof(buffer), 0);
+    if (n <= 0) break;
+    got.append(buffer, static_cast<size_t>(n));
+    if (got.find(enough) != std::string::npos) break;
+  }
+  close(fd);
+  return got;
+}
+
+HttpReply Echo(const HttpRequest& request) {
+  return {200, request.method + " " + request.path + " " + request.body};
+}
+
+TEST(Server, KeepsAConnectionForManyRequests) {
+  LocalServer server(Echo);
+  HttpClient client(server.address(), 2);
+  for (int i = 0; i < 20; ++i) {
+    const HttpAnswer answer = client.Post("/a/b", std::to_string(i));
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.body, "POST /a/b " + std::to_string(i));
+  }
+}
+
+TEST(Server, AnswersWhatItCannotTake) {
+  LocalServer server(Echo);
+  EXPECT_NE(Raw(server.port(), "PUT /x HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+                "\r\n\r\n")
+                .find(" 405 "),
+            std::string::npos);
+  EXPECT_NE(Raw(server.port(), "rubbish\r\n\r\n", "\r\n\r\n").find(" 400 "),
+            std::string::npos);
+  HttpClient client(server.address(), 2);
+  EXPECT_EQ(client.Post("/x", std::string(65 * 1024, 'a')).status, 400);
+  EXPECT_EQ(client.Post("/x", std::string(64 * 1024, 'a')).status, 200);
+  // A path as long as the library takes does not overflow the small stack.
+  EXPECT_EQ(client.Get("/" + std::string(7000, 'a')).status, 200);
+}
+
+TEST(Server, ClosesConnectionsBeyondItsLimit) {
+  LocalServer server(Echo, 2);
+  HttpClient a(server.address(), 2), b(server.address(), 2),
+      c(server.address(), 2);
+  EXPECT_EQ(a.Get("/a").status, 200);
+  EXPECT_EQ(b.Get("/b").status, 200);
+  EXPECT_EQ(c.Get("/c").status, 0);
+}
+
+TEST(Client, SaysWhenNothingWasSent) {
+  HttpClient client("127.0.0.1:1", 1);
+  const HttpAnswer answer = client.Post("/x", "{}");
+  EXPECT_EQ(answer.status, 0);
+  EXPECT_TRUE(answer.not_sent);
+}
+
+TEST(StateClient, JudgesAnswers) {
+  int status = 200;
+  std::string body = R"({"epoch":7})";
+  LocalServer server(
+      [&](const HttpRequest&) { return HttpReply{status, body}; });
+  StateClient client(server.address(), 2);
+  const auto outcome = [&](int with, const std::string& text) {
+    status = with;
+    body = text;
+    return client.Transact({}).outcome;
+  };
+  EXPECT_EQ(outcome(200, R"({"epoch":7})"), Outcome::kOk);
+  EXPECT_EQ(outcome(409, R"({"failed":["a"],"epoch":7})"), Outcome::kConflict);
+  EXPECT_EQ(outcome(429, ""), Outcome::kRefused);
+  EXPECT_EQ(outcome(503, ""), Outcome::kRefused);
+  EXPECT_EQ(outcome(500, ""), Outcome::kUnknown);
+  // An answer that can't be read says nothing about what was done.
+  EXPECT_EQ(outcome(200, "rubbish"), Outcome::kUnknown);
+}
+
+TEST(CloudClient, TellsNoCapacityFromTrouble) {
+  std::string body = R"({"error":"no capacity"})";
+  LocalServer server([&](const HttpRequest&) { return HttpReply{503, body}; });
+  CloudClient client(server.address(), 2);
+  EXPECT_TRUE(client.Rent({}).no_capacity);
+  body = R"({"error":"trouble"})";
+  EXPECT_FALSE(client.Rent({}).no_capacity);
+  EXPECT_EQ(client.Rent({}).outcome, Outcome::kRefused);
+}
+
+}  // namespace
+}  // namespace sorrelwood
--- /dev/null
+++ b/tests/core_test.cc
@@ -0,0 +1,203 @@
+// The parts of the core, each by itself.
+#include <gtest/gtest.h>
+
+#include "config/settings.h"
+#include "core/interval_set.h"
+#include "core/job_table.h"
+#include "core/wait_predictor.h"
+#include "mesh/mesh.h"
+
+namespace sorrelwood {
+namespace {
+
+TEST(IntervalSet, AgreesWithAPlainSet) {
+  std::mt19937_64 rng(7);
+  IntervalSet ranges;
+  std::set<uint32_t> plain;
+  for (int step = 0; step < 3000; ++step) {
+    const uint32_t begin = rng() % 60, end = begin + rng() % 10;
+    const bool add = rng() % 2;
+    add ? ranges.Add(begin, end) : ranges.Remove(begin, end);
+    for (uint32_t n = begin; n < end; ++n)
+      add ? (void)plain.insert(n) : (void)plain.erase(n);
+    ASSERT_EQ(ranges.size(), plain.size());
+    for (uint32_t n = 0; n < 72; ++n)
+      ASSERT_EQ(ranges.Contains(n), plain.count(n) > 0) << n;
+  }
+}
+
+TEST(Progress, BitsSurvive) {
+  IntervalSet done, back;
+  done.Add(0);
+  done.Add(5, 9);
+  done.Add(16383, 16390);
+  done.Add(39999);
+  for (uint32_t chunk = 0; chunk < 3; ++chunk)
+    DecodeBits(EncodeBits(done, chunk, 40000), chunk, 40000, &back);
+  EXPECT_EQ(back.ranges(), done.ranges());
+  // The largest array stays under the state service's 8 KiB a value.
+  EXPECT_LE(EncodeBits(IntervalSet(0, 100000), 0, 100000).size(), 4096u);
+}
+
+std::shared_ptr<LiveJob> NewJob(const std::string& id, const std::string& team,
+                                Priority priority, uint32_t tasks, double at) {
+  auto job = std::make_shared<LiveJob>();
+  job->spec.id = id;
+  job->spec.team = team;
+  job->spec.priority = priority;
+  job->spec.tasks = tasks;
+  job->spec.cpus = 2;
+  job->spec.estimate_s = 10;
+  job->submitted_wall_s = at;
+  return job;
+}
+
+TEST(Queue, GuaranteedWorkFirstThenPriorityThenArrival) {
+  const std::vector<Team> teams = {{"a", 20, 100, 0, 0}, {"b", 0, 100, 0, 0}};
+  JobTable jobs;
+  jobs.Add(NewJob("over", "a", Priority::kStandard, 10, 2), 1, false, 0);
+  jobs.Add(NewJob("within", "a", Priority::kLow, 10, 1), 2, false, 0);
+  jobs.Add(NewJob("high", "b", Priority::kHigh, 1, 4), 3, false, 0);
+  jobs.Rank(teams, 5);
+  std::vector<std::string> order;
+  for (const Job* job : jobs.queue()) order.push_back(job->id());
+  EXPECT_EQ(order, (std::vector<std::string>{"within", "high", "over"}));
+}
+
+TEST(Queue, WhatCanStillMeetItsDeadlineGoesFirst) {
+  const std::vector<Team> teams = {{"a", 0, 100, 0, 0}};
+  JobTable jobs;
+  auto late = NewJob("late", "a", Priority::kLow, 1, 0);
+  late->spec.deadline_s = 50;
+  auto fresh = NewJob("fresh", "a", Priority::kLow, 1, 40);
+  fresh->spec.deadline_s = 50;
+  jobs.Add(late, 1, false, 0);
+  jobs.Add(fresh, 2, false, 0);
+  jobs.Rank(teams, 45);
+  EXPECT_EQ(jobs.queue()[0]->id(), "fresh");
+  jobs.Rank(teams, 30);
+  EXPECT_EQ(jobs.queue()[0]->id(), "late");
+}
+
+TEST(Estimates, FollowWhatIsSeen) {
+  JobTable jobs;
+  const auto job = NewJob("j", "a", Priority::kLow, 1, 0);
+  EXPECT_DOUBLE_EQ(jobs.Estimate(job->spec), 10);
+  for (int i = 0; i < 500; ++i) jobs.LearnRunTime(job->spec, 20);
+  EXPECT_NEAR(jobs.Estimate(job->spec), 20, 0.5);
+}
+
+TEST(Predictor, LearnsAKnownAnswer) {
+  PolicySettings policy;
+  policy.wait_limit_s = 60;
+  std::mt19937_64 rng(5);
+  WaitFeatures features;
+  const auto draw = [&] {
+    features.cpu_utilisation = static_cast<double>(rng() % 100) / 100;
+    features.waiting = static_cast<double>(rng() % 50);
+    features.cpus = static_cast<double>(rng() % 8);
+    // Long waits exactly when the owned room is full and the queue is long.
+    return features.cpu_utilisation > 0.8 && features.waiting > 20 ? 120.0 : 5.0;
+  };
+  WaitPredictor predictor(policy, 3), noise(policy, 3);
+  EXPECT_FALSE(predictor.Predict(ToVector(features)));
+  for (int round = 0; round < 2; ++round) {
+    for (int i = 0; i < 800; ++i) {
+      const double wait = draw();
+      predictor.Learn(ToVector(features), wait);
+      // Waits that have nothing to do with the features can't be predicted.
+      noise.Learn(ToVector(features), rng() % 2 ? 120 : 5);
+    }
+    predictor.Fit();
+    noise.Fit();
+  }
+  EXPECT_LT(predictor.mean_error_s(), 8);
+  EXPECT_GT(predictor.matthews(), 0.8);
+  EXPECT_LT(std::abs(noise.matthews()), 0.3);
+}
+
+TEST(Predictor, IsDeterministicForASeed) {
+  PolicySettings policy;
+  WaitPredictor a(policy, 9), b(policy, 9);
+  std::mt19937_64 rng(2);
+  for (int i = 0; i < 300; ++i) {
+    WaitFeatures f;
+    f.waiting = static_cast<double>(rng() % 100);
+    a.Learn(ToVector(f), f.waiting * 2);
+    b.Learn(ToVector(f), f.waiting * 2);
+  }
+  a.Fit();
+  b.Fit();
+  WaitFeatures f;
+  f.waiting = 33;
+  EXPECT_EQ(*a.Predict(ToVector(f)), *b.Predict(ToVector(f)));
+  EXPECT_NEAR(*a.Predict(ToVector(f)), 66, 12);
+}
+
+const char kSettings[] = R"({
+  "node_name":"perch-0","site":"a","serve_on":"10.0.0.1:8080",
+  "mesh_addr":"10.0.0.1:8081","future":true,
+  "siblings":[{"node_name":"perch-1","site":"b","addr":"10.0.0.2:8081"}],
+  "outside":{"cloud":"10.2.0.2:8443","state":"10.2.0.1:2379"},
+  "cluster":{"teams":[{"name":"t","cpus":4.0,"cpus_max":8.0}],
+    "workers":{"report_s":2.0,"lease_s":14.0,"cancel_s":44.0},
+    "state":{"rps":150.0,"write_rps":60.0,"value_kb":8.0,"txn_ops":16},
+    "cloud":{"rps":4.0,"list_lag_s":5.0},
+    "machine_limits":{"cpu_share":0.12,"ram_mb":72.0,"sockets":1000}}})";
+
+TEST(Settings, AreReadAndUnknownFieldsIgnored) {
+  ClusterSettings settings;
+  std::string error;
+  ASSERT_TRUE(ParseClusterSettings(kSettings, &settings, &error)) << error;
+  EXPECT_EQ(settings.node, "perch-0");
+  EXPECT_EQ(settings.siblings.size(), 1u);
+  EXPECT_EQ(settings.state_txn_ops, 16);
+}
+
+TEST(Settings, SayWhichFieldIsWrong) {
+  const std::pair<const char*, const char*> cases[] = {
+      {"\"10.0.0.1:8080\"", "serve_on"},
+      {"\"10.2.0.1:2379\"", "outside.state"},
+      {"14.0", "cluster.workers.lease_s"},
+      {"\"t\"", "cluster.teams[0].name"}};
+  for (const auto& [text, field] : cases) {
+    std::string bad = kSettings;
+    bad.replace(bad.find(text), std::string(text).size(), "false");
+    ClusterSettings settings;
+    std::string error;
+    EXPECT_FALSE(ParseClusterSettings(bad, &settings, &error));
+    EXPECT_EQ(error.find(field), 0u) << error;
+  }
+}
+
+TEST(OperatorSettings, AreCheckedAndUnknownFieldsRefused) {
+  PolicySettings policy;
+  std::string error;
+  EXPECT_TRUE(ParseOperatorSettings(
+      "waiting_policy { speculation_s: 60 } fleet { hold_s: 5 }", &policy,
+      &error));
+  EXPECT_DOUBLE_EQ(policy.speculation_s, 60);
+  EXPECT_FALSE(ParseOperatorSettings("fleet { hold: 5 }", &policy, &error));
+  EXPECT_NE(error.find("hold"), std::string::npos) << error;
+  EXPECT_FALSE(ParseOperatorSettings("fleet { hold_s: -5 }", &policy, &error));
+  EXPECT_EQ(error.find("fleet.hold_s"), 0u) << error;
+}
+
+TEST(Mesh, NotesSurviveAndRubbishIsRefused) {
+  MeshNote note, back;
+  note.node = "perch-1";
+  note.term = 7;
+  note.leader = true;
+  note.jobs = {{"job-1", 3, 4}, {"job-2", 0, 1}};
+  const std::string bytes = EncodeNote(note);
+  ASSERT_TRUE(DecodeNote(bytes, &back));
+  EXPECT_EQ(back.node, "perch-1");
+  EXPECT_EQ(back.jobs.size(), 2u);
+  EXPECT_EQ(back.jobs[0].running, 4u);
+  EXPECT_FALSE(DecodeNote("", &back));
+  EXPECT_FALSE(DecodeNote("not a note", &back));
+  EXPECT_FALSE(DecodeNote(std::string(64, '\xff'), &back));
+}
+
+}  // namespace
+}  // namespace sorrelwood
--- /dev/null
+++ b/tests/world.cc
@@ -0,0 +1,1077 @@
+#include "world.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+#include "wire/json.h"
+
+namespace sorrelwood::test {
+
+struct World::Node {
+  std::unique_ptr<Controller> controller;
+  int life = 0;  // counts processes of this node
+  bool up = false;
+  std::string zone;
+  double drift = 1.0;  // the steady clock's speed
+  double refused_until = 0;
+  double cut_from_workers_until = 0;
+};
+
+struct World::SimTask {
+  std::string job;
+  uint32_t task = 0;
+  uint64_t attempt = 0;
+  TaskState state = TaskState::kFetching;
+  ExitReason reason = ExitReason::kNone;
+  bool saved = false;
+  uint64_t timer = 0;  // events of an earlier state are ignored
+};
+
+struct World::Worker {
+  std::string name, type, zone;
+  bool spot = false, up = false, gone = false, failed = false, sick = false;
+  double booted_at = 0, rented_at = 0, listed_from = 0;
+  double silent_until = 0;  // cut off: goes on inside
+  double hung_until = 0;    // executes nothing
+  double taken_at = 0;
+  uint64_t session = 1, sequence = 0, token = 0;
+  double lease_from = 0;
+  int target = 0;
+  bool in_flight = false;
+  double next_report = 0, last_report = -1;
+  bool changed = false;
+  uint64_t request = 0;
+  std::map<TaskKey, SimTask> tasks;
+};
+
+struct World::User {
+  JobSpec spec;
+  double run_s = 10;
+  double cancel_at = 0;
+  bool submitted = false, accepted = false, over = false;
+  bool asked_cancel = false;
+  double told_cancelled = 0, told_done = 0;
+  IntervalSet done;  // results that workers keep
+  int polls_in_vain = 0;
+};
+
+World::World(const WorldOptions& options)
+    : options_(options), rng_(options.seed) {
+  settings_.teams = {{"blue", 16, 40, 0, 0}, {"green", 24, 64, 0, 0}};
+  settings_.report_s = 1.5;
+  settings_.lease_s = 14;
+  settings_.cancel_s = 39;
+  settings_.state_txn_ops = 12;
+  settings_.cloud_rps = 8;
+  settings_.list_lag_s = 3;
+  types_ = {{"small", 4, 0, 16, 70, 0.4, 0.16, 0.06, 8, {"a", "b"}},
+            {"large", 16, 0, 128, 35, 0.3, 0.76, 0.28, 8, {"a", "b"}}};
+  for (const char* zone : {"a", "b"}) {
+    capacity_[std::string("small|") + zone + "|1"] = 8;
+    capacity_[std::string("small|") + zone + "|0"] = 4;
+    capacity_[std::string("large|") + zone + "|1"] = 2;
+    capacity_[std::string("large|") + zone + "|0"] = 1;
+  }
+  for (int i = 0; i < options_.nodes; ++i) {
+    nodes_.push_back(std::make_unique<Node>());
+    nodes_[i]->zone = i % 2 ? "b" : "a";
+    nodes_[i]->drift = 1.0 + 0.0005 * Random();
+    At(0.1 * Random(), [this, i] { StartNode(i); });
+  }
+  for (int i = 0; i < options_.jobs; ++i) {
+    JobSpec spec;
+    spec.id = "job-" + std::to_string(100000 + i * 7919 % 90000);
+    spec.job_class = i % 3 ? "short" : "long";
+    spec.team = Random() < 0.5 ? "blue" : "green";
+    spec.priority = static_cast<Priority>(rng_() % 4);
+    spec.tasks = 1 + static_cast<uint32_t>(rng_() % 14);
+    spec.cpus = 1 + static_cast<double>(rng_() % 3);
+    spec.memory_gb = 2 + 3 * Random();
+    spec.image = "img-" + std::to_string(rng_() % 5);
+    spec.image_gb = 1;
+    spec.spot = Random() < 0.8;
+    spec.one_zone = Random() < 0.2;
+    spec.spread = !spec.one_zone && Random() < 0.2;
+    if (Random() < 0.2) spec.zone = "b";
+    if (Random() < 0.2) spec.types = {"large"};
+    if (!spec.zone.empty()) spec.spread = false;
+    const double run_s = spec.job_class == "short" ? 5 + 10 * Random()
+                                                   : 20 + 20 * Random();
+    spec.estimate_s = run_s * (0.5 + Random());
+    if (Random() < 0.3) {
+      spec.checkpoint_s = 10;
+      spec.save_s = 1;
+    }
+    const double at = i < 4 ? 0.5 : options_.submit_until_s * Random();
+    const double cancel =
+        Random() < options_.cancel_share ? at + 40 * Random() : 0;
+    AddJob(at, spec, run_s, cancel);
+  }
+  for (const WorldOptions::Fault& fault : options_.faults) {
+    At(fault.at_s, [this, fault] {
+      using F = WorldOptions::Fault;
+      std::vector<Worker*> up;
+      for (auto& [name, worker] : workers_)
+        if (worker->up && !worker->gone && !worker->failed)
+          up.push_back(worker.get());
+      Worker* victim = up.empty() ? nullptr : up[rng_() % up.size()];
+      const int leader = LeaderIndex();
+      switch (fault.kind) {
+        case F::kCrashLeader:
+          if (leader >= 0) CrashNode(leader, fault.restart_s);
+          break;
+        case F::kCrashOther:
+          CrashNode((std::max(leader, 0) + 1) % options_.nodes, fault.restart_s);
+          break;
+        case F::kCrashAll:
+          for (int i = 0; i < options_.nodes; ++i) CrashNode(i, fault.restart_s);
+          break;
+        case F::kStateOutage:
+          state_down_until_ = now_ + fault.for_s;
+          At(state_down_until_, [this] {
+            for (auto& [id, lease] : leases_) lease.until = now_ + lease.ttl;
+          });
+          break;
+        case F::kStateRefusesLeader:
+          if (leader >= 0) nodes_[leader]->refused_until = now_ + fault.for_s;
+          break;
+        case F::kCloudOutage: cloud_down_until_ = now_ + fault.for_s; break;
+        case F::kMachineDies:
+          if (victim) {
+            LoseAll(*victim);
+            victim->up = false;
+            victim->failed = true;
+          }
+          break;
+        case F::kMachineCut:
+          if (victim) victim->silent_until = now_ + fault.for_s;
+          break;
+        case F::kMachineHangs:
+          if (victim) victim->hung_until = now_ + fault.for_s;
+          break;
+        case F::kMachineSick:
+          if (victim) victim->sick = true;
+          break;
+        case F::kSpotWave:
+          for (Worker* worker : up)
+            if (worker->spot && Random() < 0.5) {
+              worker->taken_at = now_ + 8;
+              worker->changed = true;
+              At(now_ + 8, [this, name = worker->name] { Kill(name); });
+            }
+          break;
+        case F::kLeaderCutFromWorkers:
+          if (leader >= 0)
+            nodes_[leader]->cut_from_workers_until = now_ + fault.for_s;
+          break;
+        case F::kZoneCut: zone_cut_until_ = now_ + fault.for_s; break;
+      }
+    });
+  }
+}
+
+World::~World() = default;
+
+void World::AddJob(double at_s, JobSpec spec, double run_s,
+                   double cancel_at_s) {
+  const std::string id = spec.id;
+  auto user = std::make_unique<User>();
+  user->spec = std::move(spec);
+  user->run_s = run_s;
+  user->cancel_at = cancel_at_s;
+  users_[id] = std::move(user);
+  At(at_s, [this, id] { SubmitJob(id); });
+  if (cancel_at_s > 0) At(cancel_at_s, [this, id] { CancelJob(id); });
+}
+
+void World::At(double time, Event event) {
+  events_.push({time, event_order_++, std::move(event)});
+}
+
+void World::Run() {
+  while (!events_.empty() && events_.top().time <= options_.duration_s) {
+    Queued next = events_.top();
+    events_.pop();
+    now_ = std::max(now_, next.time);
+    ExpireLeases();
+    next.event();
+    CheckStep();
+    if (broken_.size() > 20) return;
+  }
+}
+
+// --- Nodes -----------------------------------------------------------------------
+
+void World::StartNode(int index) {
+  Node& node = *nodes_[index];
+  ClusterSettings settings = settings_;
+  settings.node = "node-" + std::to_string(index);
+  settings.zone = node.zone;
+  ++node.life;
+  node.controller =
+      std::make_unique<Controller>(settings, options_.policy, rng_());
+  node.up = true;
+  TickNode(index, node.life);
+}
+
+void World::CrashNode(int index, double restart_s) {
+  Node& node = *nodes_[index];
+  if (!node.up) return;
+  node.up = false;
+  node.controller.reset();
+  After(restart_s * (0.2 + Random()), [this, index] {
+    if (!nodes_[index]->up) StartNode(index);
+  });
+}
+
+template <typename Input>
+void World::Feed(int index, int life, Input input) {
+  Node& node = *nodes_[index];
+  if (!node.up || node.life != life) return;
+  const Controller::Time time{now_ * node.drift + 100.0 * index,
+                              1e9 + now_ + 0.005 * (Random() - 0.5)};
+  Handle(index, input(*node.controller, time));
+}
+
+void World::TickNode(int index, int life) {
+  if (nodes_[index]->life != life) return;
+  Feed(index, life, [](Controller& c, Controller::Time time) { return c.Tick(time); });
+  if (!nodes_[index]->up) return;
+  const auto figures = nodes_[index]->controller->Measure();
+  if (figures.leading && terms_seen_.insert(figures.term).second) ++takeovers_;
+  After(0.05 + 0.05 * Random(), [this, index, life] { TickNode(index, life); });
+}
+
+int World::LeaderIndex() const {
+  for (int i = 0; i < options_.nodes; ++i)
+    if (nodes_[i]->up && nodes_[i]->controller->Measure().leading) return i;
+  return -1;
+}
+
+void World::Handle(int index, Actions actions) {
+  const int life = nodes_[index]->life;
+  for (Action& action : actions) {
+    if (auto* t = std::get_if<StateTransaction>(&action)) {
+      AskState(index, *t);
+    } else if (auto* get = std::get_if<StateGet>(&action)) {
+      AskState(index, *get);
+    } else if (auto* list = std::get_if<StateList>(&action)) {
+      AskState(index, *list);
+    } else if (auto* create = std::get_if<LeaseCreate>(&action)) {
+      AskState(index, *create);
+    } else if (auto* renew = std::get_if<LeaseRenew>(&action)) {
+      AskState(index, *renew);
+    } else if (auto* watch = std::get_if<StateWatch>(&action)) {
+      After(Latency(), [this, index, life, watch = *watch] {
+        watchers_.push_back({index, life, watch});
+        AnswerWatchers();
+        // As long as the real one waits, plus its slack.
+        After(2.0, [this, index, life, watch] {
+          auto it = std::find_if(
+              watchers_.begin(), watchers_.end(), [&](const Watcher& w) {
+                return w.node == index && w.life == life &&
+                       w.watch.id == watch.id;
+              });
+          if (it == watchers_.end()) return;
+          StateResult result = WatchAnswer(watch);
+          if (StateDown(index)) result = StateResult();  // no answer
+          result.id = watch.id;
+          watchers_.erase(it);
+          Feed(index, life, [result](Controller& c, Controller::Time time) {
+            return c.Deliver(time, result);
+          });
+        });
+      });
+    } else if (auto* catalog = std::get_if<CloudCatalog>(&action)) {
+      AskCloud(index, *catalog);
+    } else if (auto* rent = std::get_if<CloudRent>(&action)) {
+      AskCloud(index, *rent);
+    } else if (auto* release = std::get_if<CloudRelease>(&action)) {
+      AskCloud(index, *release);
+    } else if (auto* machines = std::get_if<CloudList>(&action)) {
+      AskCloud(index, *machines);
+    } else if (auto* direct = std::get_if<DirectCommand>(&action)) {
+      const DirectCommand command = *direct;
+      auto execute = [this, command, index, life](bool answer) {
+        auto it = workers_.find(command.machine);
+        if (it == workers_.end() || !it->second->up ||
+            !Reachable(index, *it->second) || now_ < it->second->hung_until)
+          return;
+        Worker& worker = *it->second;
+        DirectResult result;
+        result.id = command.id;
+        result.answered = true;
+        result.accepted =
+            command.token >= worker.token && command.session == worker.session;
+        if (result.accepted) {
+          if (command.token > worker.token) worker.changed = true;
+          worker.token = command.token;
+          Execute(worker, command.commands);
+        }
+        result.report = MakeReport(worker);
+        if (answer)
+          After(Latency(), [this, index, life, result] {
+            Feed(index, life, [result](Controller& c, Controller::Time time) {
+              return c.Deliver(time, result);
+            });
+          });
+      };
+      After(Latency(), [execute] { execute(true); });
+      if (Random() < options_.late)
+        After(20 + 40 * Random(), [execute] { execute(false); });
+      After(1.5, [this, index, life, id = command.id] {
+        DirectResult result;
+        result.id = id;
+        Feed(index, life, [result](Controller& c, Controller::Time time) {
+          return c.Deliver(time, result);
+        });
+      });
+    } else if (auto* user = std::get_if<AnswerUser>(&action)) {
+      UserAnswer(*user);
+    } else if (auto* worker_answer = std::get_if<AnswerWorker>(&action)) {
+      const AnswerWorker answer = *worker_answer;
+      After(Latency(), [this, answer] {
+        auto asked = reports_.find(answer.request);
+        if (asked == reports_.end()) return;
+        const AskedReport report = asked->second;
+        reports_.erase(asked);
+        auto it = workers_.find(report.worker);
+        if (it == workers_.end() || !it->second->up) return;
+        Worker& worker = *it->second;
+        if (!worker.in_flight || worker.request != answer.request) return;
+        if (!Reachable(report.node, worker) || now_ < worker.hung_until ||
+            Random() < options_.lose)
+          return;  // lost: the worker gives up after 4 s
+        worker.in_flight = false;
+        if (answer.status != 200) {
+          int target = (report.node + 1) % options_.nodes;
+          if (!answer.redirect.empty())
+            target = answer.redirect.back() - '0';
+          worker.target = target;
+          worker.next_report = now_ + (answer.redirect.empty() ? 1.0 : 0.3);
+          return;
+        }
+        if (answer.token < worker.token || report.session != worker.session)
+          return;  // dropped
+        if (answer.token > worker.token) worker.changed = true;
+        worker.token = answer.token;
+        worker.lease_from = std::max(worker.lease_from, report.sent);
+        Execute(worker, answer.commands);
+      });
+    } else if (auto* note = std::get_if<MeshSend>(&action)) {
+      for (int other = 0; other < options_.nodes; ++other) {
+        if (other == index || Random() < options_.lose) continue;
+        if (now_ < zone_cut_until_ && nodes_[other]->zone != nodes_[index]->zone)
+          continue;
+        const int other_life = nodes_[other]->life;
+        After(Latency(), [this, other, other_life, note = note->note] {
+          Feed(other, other_life, [&](Controller& c, Controller::Time time) {
+            return c.Note(time, note);
+          });
+        });
+      }
+    }
+  }
+}
+
+// --- State service -----------------------------------------------------------------
+
+bool World::StateDown(int node) const {
+  return now_ < state_down_until_ || now_ < nodes_[node]->refused_until;
+}
+
+template <typename Request>
+void World::AskState(int node, const Request& request, bool) {
+  const int life = nodes_[node]->life;
+  const auto give = [this, node, life](const StateResult& result) {
+    Feed(node, life, [result](Controller& c, Controller::Time time) {
+      return c.Deliver(time, result);
+    });
+  };
+  const bool lost = Random() < options_.lose;
+  const bool answer_lost = Random() < options_.lose;
+  if (Random() < options_.late || Random() < options_.repeat) {
+    After(0.5 + 30 * Random(), [this, request, node] {
+      if (!StateDown(node)) {
+        Serve(request);
+        AnswerWatchers();
+      }
+    });
+  }
+  After(Latency(), [this, request, node, lost, answer_lost, give] {
+    StateResult result;
+    if (lost) {
+      // never arrives
+    } else if (StateDown(node)) {
+      result.outcome = Outcome::kRefused;
+    } else {
+      result = Serve(request);
+      AnswerWatchers();
+      if (answer_lost) result = StateResult();
+    }
+    result.id = request.id;
+    const bool silent = result.outcome == Outcome::kUnknown;
+    After(silent ? 2.0 : Latency(), [give, result] { give(result); });
+  });
+}
+
+void World::ApplyOp(const StateOp& op) {
+  KeyValue item;
+  item.key = op.key;
+  item.version = revision_;
+  if (op.remove) {
+    if (!keys_.erase(op.key)) return;
+    item.removed = true;
+  } else {
+    keys_[op.key] = {op.value, revision_, op.lease};
+    item.value = op.value;
+  }
+  changes_.push_back({revision_, item});
+}
+
+StateResult World::Serve(const StateTransaction& request) {
+  StateResult result;
+  if (request.ops.size() > static_cast<size_t>(settings_.state_txn_ops) ||
+      request.guards.size() > 4 * static_cast<size_t>(settings_.state_txn_ops))
+    Break("a transaction over the state service's limits");
+  for (const Guard& guard : request.guards) {
+    auto it = keys_.find(guard.key);
+    if ((it == keys_.end() ? 0 : it->second.version) != guard.version)
+      result.failed.push_back(guard.key);
+  }
+  for (const StateOp& op : request.ops) {
+    if (op.lease != 0 && !leases_.count(op.lease)) {
+      result.outcome = Outcome::kRefused;
+      return result;
+    }
+  }
+  if (!result.failed.empty()) {
+    result.outcome = Outcome::kConflict;
+    result.revision = revision_;
+    return result;
+  }
+  if (!request.ops.empty()) {
+    ++revision_;
+    for (const StateOp& op : request.ops) ApplyOp(op);
+  }
+  result.outcome = Outcome::kOk;
+  result.revision = revision_;
+  return result;
+}
+
+StateResult World::Serve(const StateGet& request) {
+  StateResult result;
+  auto it = keys_.find(request.key);
+  result.outcome = it == keys_.end() ? Outcome::kConflict : Outcome::kOk;
+  result.revision = revision_;
+  if (it != keys_.end())
+    result.items.push_back(
+        {request.key, it->second.value, it->second.version, false});
+  return result;
+}
+
+StateResult World::Serve(const StateList& request) {
+  StateResult result;
+  for (auto it = keys_.lower_bound(request.prefix);
+       it != keys_.end() &&
+       it->first.compare(0, request.prefix.size(), request.prefix) == 0;
+       ++it)
+    result.items.push_back(
+        {it->first, it->second.value, it->second.version, false});
+  result.outcome = Outcome::kOk;
+  result.revision = revision_;
+  return result;
+}
+
+StateResult World::Serve(const LeaseCreate& request) {
+  StateResult result;
+  result.outcome = Outcome::kOk;
+  result.lease = next_lease_++;
+  leases_[result.lease] = {request.ttl_s, now_ + request.ttl_s};
+  return result;
+}
+
+StateResult World::Serve(const LeaseRenew& request) {
+  StateResult result;
+  auto it = leases_.find(request.lease);
+  result.outcome = it == leases_.end() ? Outcome::kConflict : Outcome::kOk;
+  if (it != leases_.end()) it->second.until = now_ + it->second.ttl;
+  return result;
+}
+
+void World::ExpireLeases() {
+  if (now_ < state_down_until_) return;
+  for (auto it = leases_.begin(); it != leases_.end();) {
+    if (now_ < it->second.until) {
+      ++it;
+      continue;
+    }
+    const uint64_t ended = it->first;
+    it = leases_.erase(it);
+    std::vector<std::string> attached;
+    for (const auto& [key, entry] : keys_)
+      if (entry.lease == ended) attached.push_back(key);
+    if (attached.empty()) continue;
+    ++revision_;
+    for (const std::string& key : attached) ApplyOp({true, key, "", 0});
+    AnswerWatchers();
+  }
+}
+
+StateResult World::WatchAnswer(const StateWatch& watch) const {
+  StateResult result;
+  result.id = watch.id;
+  result.outcome = Outcome::kOk;
+  result.revision = revision_;
+  for (const Change& change : changes_)
+    if (change.revision > watch.after &&
+        change.item.key.compare(0, watch.prefix.size(), watch.prefix) == 0)
+      result.items.push_back(change.item);
+  return result;
+}
+
+void World::AnswerWatchers() {
+  for (size_t i = 0; i < watchers_.size();) {
+    const Watcher watcher = watchers_[i];
+    if (StateDown(watcher.node)) {
+      ++i;
+      continue;
+    }
+    const StateResult result = WatchAnswer(watcher.watch);
+    if (result.items.empty()) {
+      ++i;
+      continue;
+    }
+    watchers_.erase(watchers_.begin() + static_cast<long>(i));
+    After(Latency(), [this, watcher, result] {
+      Feed(watcher.node, watcher.life,
+           [result](Controller& c, Controller::Time time) {
+             return c.Deliver(time, result);
+           });
+    });
+  }
+}
+
+// --- Cloud ---------------------------------------------------------------------------
+
+template <typename Request>
+void World::AskCloud(int node, const Request& request) {
+  const int life = nodes_[node]->life;
+  const bool lost = Random() < options_.lose;
+  const bool answer_lost = Random() < options_.lose;
+  if (Random() < options_.late)
+    After(5 + 40 * Random(), [this, request] {
+      if (now_ >= cloud_down_until_) Serve(request);
+    });
+  After(0.1 + 0.2 * Random(), [this, request, node, life, lost, answer_lost] {
+    CloudResult result;
+    if (lost) {
+      // never arrives
+    } else if (now_ < cloud_down_until_) {
+      result.outcome = Outcome::kRefused;
+    } else {
+      result = Serve(request);
+      if (answer_lost) result = CloudResult();
+    }
+    result.id = request.id;
+    After(result.outcome == Outcome::kUnknown ? 5.0 : Latency(),
+          [this, node, life, result] {
+            Feed(node, life, [result](Controller& c, Controller::Time time) {
+              return c.Deliver(time, result);
+            });
+          });
+  });
+}
+
+CloudResult World::Serve(const CloudCatalog&) {
+  CloudResult result;
+  result.outcome = Outcome::kOk;
+  result.types = types_;
+  return result;
+}
+
+CloudResult World::Serve(const CloudRent& request) {
+  CloudResult result;
+  const RentRecord& rent = request.rent;
+  // The record must be there before the call, whoever sends it.
+  if (!keys_.count("sw/rent/" + rent.name) && !rents_.count(rent.name) &&
+      options_.late == 0 && options_.repeat == 0)
+    Break("a rental without a record: " + rent.name);
+  if (auto known = rents_.find(rent.name); known != rents_.end()) {
+    result.outcome = Outcome::kOk;
+    result.machines = known->second;
+    return result;
+  }
+  int& left = capacity_[rent.type + "|" + rent.zone + "|" +
+                        (rent.spot ? "1" : "0")];
+  const int count = std::min(left, rent.count);
+  if (count <= 0) {
+    result.outcome = Outcome::kRefused;
+    result.no_capacity = true;
+    return result;
+  }
+  left -= count;
+  for (int i = 0; i < count; ++i) {
+    auto worker = std::make_unique<Worker>();
+    char name[32];
+    snprintf(name, sizeof(name), "n-%06d", next_machine_++);
+    worker->name = name;
+    worker->type = rent.type;
+    worker->zone = rent.zone;
+    worker->spot = rent.spot;
+    worker->rented_at = now_;
+    worker->listed_from = now_ + settings_.list_lag_s;
+    result.machines.push_back(name);
+    workers_[name] = std::move(worker);
+    const double boot = 8 * (0.6 + 0.9 * Random());
+    if (Random() >= options_.boot_fail)
+      After(boot, [this, name = std::string(name)] { Boot(name); });
+    if (rent.spot && options_.spot_per_hour > 0) {
+      const double life =
+          -std::log(1 - Random()) * 3600 / options_.spot_per_hour;
+      After(life, [this, name = std::string(name)] {
+        Worker* w = workers_[name].get();
+        if (w->gone) return;
+        w->taken_at = Random() < 0.5 ? now_ + 8 : now_;
+        w->changed = true;
+        At(w->taken_at, [this, name] { Kill(name); });
+      });
+    }
+  }
+  rents_[rent.name] = result.machines;
+  result.outcome = Outcome::kOk;
+  return result;
+}
+
+CloudResult World::Serve(const CloudRelease& request) {
+  for (const std::string& name : request.machines) Kill(name);
+  CloudResult result;
+  result.outcome = Outcome::kOk;
+  result.machines = request.machines;
+  return result;
+}
+
+CloudResult World::Serve(const CloudList&) {
+  CloudResult result;
+  result.outcome = Outcome::kOk;
+  for (const auto& [name, worker] : workers_) {
+    if (worker->gone || now_ < worker->listed_from) continue;
+    result.listed.push_back({name, name + ":1", worker->type, worker->zone,
+                             worker->spot,
+                             worker->failed ? MachineStatus::kFailed
+                             : worker->up   ? MachineStatus::kRunning
+                                            : MachineStatus::kBooting,
+                             now_ - worker->rented_at});
+  }
+  // It lags: what is answered is the list of a few seconds ago.
+  lists_.emplace_back(now_, result.listed);
+  const double as_of = now_ - settings_.list_lag_s * (1 + Random());
+  for (auto it = lists_.rbegin(); it != lists_.rend(); ++it) {
+    result.listed = it->second;
+    if (it->first <= as_of) break;
+  }
+  return result;
+}
+
+// --- Workers -----------------------------------------------------------------------------
+
+void World::Boot(const std::string& name) {
+  Worker& worker = *workers_[name];
+  if (worker.gone) return;
+  worker.up = true;
+  worker.booted_at = worker.lease_from = now_;
+  worker.target = static_cast<int>(rng_() % nodes_.size());
+  worker.next_report = now_;
+  WorkerLoop(name);
+}
+
+void World::Kill(const std::string& name) {
+  auto it = workers_.find(name);
+  if (it == workers_.end() || it->second->gone) return;
+  Worker& worker = *it->second;
+  LoseAll(worker);
+  worker.up = false;
+  worker.gone = true;
+  ++capacity_[worker.type + "|" + worker.zone + "|" +
+              (worker.spot ? "1" : "0")];
+}
+
+void World::LoseAll(Worker& worker) { worker.tasks.clear(); }
+
+bool World::Reachable(int node, const Worker& worker) const {
+  if (now_ < worker.silent_until) return false;
+  if (now_ < nodes_[node]->cut_from_workers_until) return false;
+  return now_ >= zone_cut_until_ || nodes_[node]->zone == worker.zone;
+}
+
+void World::WorkerLoop(const std::string& name) {
+  Worker& worker = *workers_[name];
+  if (!worker.up) return;
+  After(0.1, [this, name] { WorkerLoop(name); });
+  if (now_ < worker.hung_until) return;
+  if (now_ - worker.lease_from > settings_.lease_s) {
+    LoseAll(worker);
+    ++worker.session;
+    worker.sequence = 0;
+    worker.lease_from = now_;
+    worker.in_flight = false;
+    worker.changed = true;
+  }
+  if (worker.in_flight && now_ - worker.last_report > 4) {
+    worker.in_flight = false;
+    worker.target = (worker.target + 1) % options_.nodes;
+    worker.next_report = now_ + 1;
+  }
+  if (worker.in_flight) return;
+  if (now_ >= worker.next_report ||
+      (worker.changed && now_ - worker.last_report > 0.5))
+    SendReport(worker);
+}
+
+WorkerReport World::MakeReport(Worker& worker) {
+  WorkerReport report;
+  report.machine = worker.name;
+  report.address = worker.name + ":1";
+  report.type = worker.type;
+  report.zone = worker.zone;
+  report.spot = worker.spot;
+  report.session = worker.session;
+  report.sequence = ++worker.sequence;
+  report.token = worker.token;
+  if (worker.taken_at > now_) report.notice_s = worker.taken_at - now_;
+  for (const auto& [key, task] : worker.tasks)
+    report.tasks.push_back({task.job, task.task, task.attempt, task.state,
+                            task.reason, task.saved});
+  return report;
+}
+
+void World::SendReport(Worker& worker) {
+  worker.in_flight = true;
+  worker.changed = false;
+  worker.last_report = now_;
+  worker.next_report = now_ + settings_.report_s * (0.75 + 0.5 * Random());
+  const uint64_t request = next_request_++;
+  worker.request = request;
+  const WorkerReport report = MakeReport(worker);
+  const int node = worker.target;
+  reports_[request] = {worker.name, node, report.session, report.sequence, now_};
+  const auto deliver = [this, node, request, report] {
+    if (!nodes_[node]->up) return;
+    Feed(node, nodes_[node]->life, [&](Controller& c, Controller::Time time) {
+      return c.Report(time, request, report);
+    });
+  };
+  if (!Reachable(node, worker)) {
+    // Held by the cut and delivered when it ends, minutes late.
+    const double until =
+        std::max({worker.silent_until, nodes_[node]->cut_from_workers_until,
+                  zone_cut_until_});
+    At(until + Latency(), deliver);
+    return;
+  }
+  if (Random() < options_.lose) return;
+  After(Latency(), deliver);
+  if (Random() < options_.repeat) After(5 * Random(), deliver);
+}
+
+void World::Execute(Worker& worker, const std::vector<Command>& commands) {
+  for (const Command& command : commands) {
+    const TaskKey key{command.job, command.task};
+    auto it = worker.tasks.find(key);
+    const bool same =
+        it != worker.tasks.end() && it->second.attempt == command.attempt;
+    switch (command.kind) {
+      case CommandKind::kStart:
+        if (!same) StartTask(worker, command);
+        break;
+      case CommandKind::kStop: {
+        if (!same || it->second.state == TaskState::kExited) break;
+        SimTask& task = it->second;
+        const JobSpec& spec = users_[task.job]->spec;
+        if (task.state == TaskState::kRunning && spec.checkpoint_s > 0 &&
+            command.grace_s >= spec.save_s) {
+          task.state = TaskState::kSaving;
+          const uint64_t timer = ++task.timer;
+          After(spec.save_s, [this, name = worker.name, key, timer] {
+            Worker& w = *workers_[name];
+            auto found = w.tasks.find(key);
+            if (found == w.tasks.end() || found->second.timer != timer) return;
+            found->second.saved = true;
+            EndTask(w, found->second, ExitReason::kStopped);
+          });
+        } else if (task.state != TaskState::kSaving || command.grace_s == 0) {
+          EndTask(worker, task, ExitReason::kStopped);
+        }
+        break;
+      }
+      case CommandKind::kForget:
+        if (same && it->second.state == TaskState::kExited)
+          worker.tasks.erase(it);
+        break;
+    }
+  }
+}
+
+void World::EndTask(Worker& worker, SimTask& task, ExitReason reason) {
+  task.state = TaskState::kExited;
+  task.reason = reason;
+  ++task.timer;
+  worker.changed = true;
+  if (reason == ExitReason::kDone && users_.count(task.job)) {
+    IntervalSet& done = users_[task.job]->done;
+    if (!done.Contains(task.task)) done.Add(task.task);
+  }
+}
+
+void World::StartTask(Worker& worker, const Command& command) {
+  const TaskKey key{command.job, command.task};
+  SimTask task;
+  task.job = command.job;
+  task.task = command.task;
+  task.attempt = command.attempt;
+  worker.changed = true;
+  auto other = worker.tasks.find(key);
+  if (other != worker.tasks.end() &&
+      other->second.state != TaskState::kExited)
+    return;  // in_use: refused, and not kept here
+  auto user = users_.find(command.job);
+  if (user == users_.end() || command.task >= user->second->spec.tasks) {
+    task.state = TaskState::kExited;
+    task.reason = ExitReason::kUnknown;
+    worker.tasks[key] = task;
+    return;
+  }
+  const JobSpec& spec = user->second->spec;
+  double cpus = spec.cpus, memory = spec.memory_gb;
+  for (const auto& [k, t] : worker.tasks) {
+    if (t.state == TaskState::kExited) continue;
+    cpus += users_[t.job]->spec.cpus;
+    memory += users_[t.job]->spec.memory_gb;
+  }
+  const MachineType& type = worker.type == "small" ? types_[0] : types_[1];
+  if (cpus > type.cpus + 1e-9 || memory > type.memory_gb + 1e-9) {
+    task.state = TaskState::kExited;
+    task.reason = ExitReason::kNoRoom;
+    worker.tasks[key] = task;
+    return;
+  }
+  worker.tasks[key] = task;
+  After(0.5 + 2 * Random(),
+        [this, name = worker.name, key, attempt = command.attempt] {
+          TaskHasImage(name, key, attempt);
+        });
+}
+
+void World::TaskHasImage(const std::string& machine, const TaskKey& key,
+                         uint64_t attempt) {
+  Worker& worker = *workers_[machine];
+  if (!worker.up) return;
+  auto it = worker.tasks.find(key);
+  if (it == worker.tasks.end() || it->second.attempt != attempt ||
+      it->second.state != TaskState::kFetching)
+    return;
+  if (now_ < worker.hung_until) {
+    At(worker.hung_until, [this, machine, key, attempt] {
+      TaskHasImage(machine, key, attempt);
+    });
+    return;
+  }
+  // The lease is looked at before anything starts.
+  if (now_ - worker.lease_from > settings_.lease_s) return;
+  SimTask& task = it->second;
+  CheckStart(worker, task);
+  ++tasks_started_;
+  task.state = TaskState::kRunning;
+  worker.changed = true;
+  const User& user = *users_[task.job];
+  const bool kept = user.done.Contains(task.task);
+  const uint64_t timer = ++task.timer;
+  const bool fails = worker.sick;
+  After(kept ? 0.1 : fails ? 0.5 : user.run_s,
+        [this, machine, key, timer, fails] {
+          Worker& w = *workers_[machine];
+          const auto end = [this, &w, key, timer, fails] {
+            auto found = w.tasks.find(key);
+            if (!w.up || found == w.tasks.end() || found->second.timer != timer)
+              return;
+            EndTask(w, found->second,
+                    fails ? ExitReason::kError : ExitReason::kDone);
+          };
+          if (now_ < w.hung_until)
+            At(w.hung_until + 0.2, end);
+          else
+            end();
+        });
+}
+
+size_t World::machines_left() const {
+  size_t count = 0;
+  for (const auto& [name, worker] : workers_)
+    if (!worker->gone) ++count;
+  return count;
+}
+
+std::string World::Unfinished() const {
+  std::string text;
+  for (const auto& [id, user] : users_) {
+    if (user->over) continue;
+    const JobSpec& s = user->spec;
+    text += id + " " + s.team + " tasks " + std::to_string(s.tasks) + " done " +
+            std::to_string(user->done.size()) + " cpus " +
+            std::to_string(s.cpus) + " run_s " + std::to_string(user->run_s) +
+            (s.spot ? " spot" : "") + (s.one_zone ? " one_zone" : "") +
+            (s.spread ? " spread" : "") + " zone " + s.zone + " types " +
+            (s.types.empty() ? "any" : s.types[0]) + "; ";
+  }
+  return text;
+}
+
+// --- Users -------------------------------------------------------------------------------
+
+void World::SubmitJob(const std::string& id) {
+  User& user = *users_[id];
+  if (user.accepted) return;
+  user.submitted = true;
+  const int node = static_cast<int>(rng_() % nodes_.size());
+  const uint64_t request = next_request_++;
+  asked_[request] = {id, Asked::kSubmit, false};
+  if (nodes_[node]->up)
+    Feed(node, nodes_[node]->life, [&](Controller& c, Controller::Time time) {
+      return c.Submit(time, request, user.spec);
+    });
+  After(1.5 + Random(), [this, id] { SubmitJob(id); });
+}
+
+void World::PollJob(const std::string& id) {
+  User& user = *users_[id];
+  const int node = static_cast<int>(rng_() % nodes_.size());
+  const uint64_t request = next_request_++;
+  asked_[request] = {id, Asked::kPoll, false};
+  if (nodes_[node]->up)
+    Feed(node, nodes_[node]->life, [&](Controller& c, Controller::Time time) {
+      return c.Poll(time, request, id);
+    });
+  After(user.over ? 15 : 4 + 2 * Random(), [this, id] { PollJob(id); });
+}
+
+void World::CancelJob(const std::string& id) {
+  User& user = *users_[id];
+  if (user.told_cancelled > 0 || user.told_done > 0) return;
+  if (!user.accepted) {
+    After(2, [this, id] { CancelJob(id); });
+    return;
+  }
+  user.asked_cancel = true;
+  const int node = static_cast<int>(rng_() % nodes_.size());
+  const uint64_t request = next_request_++;
+  asked_[request] = {id, Asked::kCancel, false};
+  if (nodes_[node]->up)
+    Feed(node, nodes_[node]->life, [&](Controller& c, Controller::Time time) {
+      return c.Cancel(time, request, id);
+    });
+  After(2, [this, id] { CancelJob(id); });
+}
+
+void World::UserAnswer(const AnswerUser& answer) {
+  auto it = asked_.find(answer.request);
+  if (it == asked_.end() || it->second.answered) return;
+  it->second.answered = true;
+  const Asked asked = it->second;
+  User& user = *users_[asked.job];
+  const std::string& id = asked.job;
+  if (answer.status == 404 && user.accepted)
+    Break("forgotten: " + id + " was accepted and got 404");
+  if ((answer.status == 400 || answer.status == 422) && user.accepted)
+    Break("forgotten: " + id + " was accepted and refused later");
+  if (answer.status != 200 && answer.status != 201) return;
+  if (!user.submitted) Break("invented: " + id);
+  if (!user.accepted) {
+    user.accepted = true;
+    ++jobs_accepted_;
+    After(5 * Random(), [this, id] { PollJob(id); });
+  }
+  const bool says_done = answer.body.find("\"done\"") != std::string::npos &&
+                         answer.body.find("\"status\":\"done\"") !=
+                             std::string::npos;
+  const bool says_cancelled =
+      answer.body.find("\"status\":\"cancelled\"") != std::string::npos;
+  if ((user.told_done > 0 && !says_done) ||
+      (user.told_cancelled > 0 && !says_cancelled))
+    Break("went_back: " + id + " is now " + answer.body);
+  if (says_cancelled && !user.asked_cancel)
+    Break("went_back: " + id + " was not cancelled by its user");
+  if (says_done && user.told_done == 0) {
+    user.told_done = now_;
+    user.over = true;
+    ++jobs_done_;
+    if (user.done.size() < user.spec.tasks)
+      Break("not_done: " + id + " has tasks left");
+  }
+  if (says_cancelled && user.told_cancelled == 0) {
+    user.told_cancelled = now_;
+    user.over = true;
+    ++jobs_cancelled_;
+  }
+}
+
+// --- Rules ---------------------------------------------------------------------------------
+
+void World::Break(const std::string& what) {
+  broken_.push_back(std::to_string(now_) + " s: " + what);
+}
+
+namespace {
+bool OnMachine(TaskState state) {
+  return state == TaskState::kRunning || state == TaskState::kSaving;
+}
+}  // namespace
+
+void World::CheckStart(const Worker& worker, const SimTask& task) {
+  const User& user = *users_[task.job];
+  const JobSpec& spec = user.spec;
+  const std::string name = task.job + "/" + std::to_string(task.task);
+  std::map<std::string, uint32_t> in_zone;
+  for (const auto& [other_name, other] : workers_) {
+    for (const auto& [key, placed] : other->tasks) {
+      if (key.first != task.job || !OnMachine(placed.state)) continue;
+      ++in_zone[other->zone];
+      if (key.second == task.task && other.get() != &worker)
+        Break("ran_twice: " + name + " on " + worker.name + " and " +
+              other_name);
+    }
+  }
+  if ((worker.spot && !spec.spot) ||
+      (!spec.zone.empty() && spec.zone != worker.zone) ||
+      (!spec.types.empty() &&
+       std::find(spec.types.begin(), spec.types.end(), worker.type) ==
+           spec.types.end()))
+    Break("wrong_place: " + name + " on " + worker.name);
+  if (spec.one_zone && !in_zone.empty() &&
+      (in_zone.size() > 1 || in_zone.begin()->first != worker.zone))
+    Break("wrong_place: " + name + " leaves its zone");
+  if (spec.spread && in_zone[worker.zone] + 1 > (spec.tasks + 1) / 2)
+    Break("wrong_place: " + name + " is not spread");
+  if (user.told_cancelled > 0 &&
+      now_ > user.told_cancelled + settings_.cancel_s)
+    Break("ran_cancelled: " + name + " starts");
+}
+
+void World::CheckStep() {
+  std::map<std::string, double> use;
+  for (const auto& [name, worker] : workers_) {
+    for (const auto& [key, task] : worker->tasks) {
+      if (!OnMachine(task.state)) continue;
+      const User& user = *users_[key.first];
+      use[user.spec.team] += user.spec.cpus;
+      if (user.told_cancelled > 0 &&
+          now_ > user.told_cancelled + settings_.cancel_s)
+        Break("ran_cancelled: " + key.first + " is still on " + name);
+    }
+  }
+  for (const Team& team : settings_.teams)
+    if (use[team.name] > team.cpus_max + 1e-6)
+      Break("quota: " + team.name + " uses " + std::to_string(use[team.name]));
+}
+
+}  // namespace sorrelwood::test
--- /dev/null
+++ b/tests/world.h
@@ -0,0 +1,215 @@
+// A simulated world for several cores: state service, cloud, workers, users and
+// faults, all drawn from one seed. It keeps its own account of what is on each
+// machine and checks every rule of the protocol after each step.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/controller.h"
+
+namespace sorrelwood::test {
+
+struct WorldOptions {
+  uint64_t seed = 1;
+  int nodes = 3;
+  double duration_s = 600;
+  int jobs = 24;
+  double submit_until_s = 120;
+  double cancel_share = 0.1;
+  // Chances per message.
+  double lose = 0.0;       // request or answer is lost
+  double repeat = 0.0;     // the request is carried out a second time, later
+  double late = 0.0;       // carried out long after the sender gave up
+  double boot_fail = 0.0;
+  double spot_per_hour = 0.0;
+  PolicySettings policy;
+  // Times at which things go wrong.
+  struct Fault {
+    double at_s = 0;
+    enum Kind {
+      kCrashLeader,
+      kCrashAll,
+      kCrashOther,
+      kStateOutage,      // for all
+      kStateRefusesLeader,
+      kCloudOutage,
+      kMachineDies,
+      kMachineCut,       // silent, goes on inside, packets are held
+      kMachineHangs,
+      kMachineSick,      // fails every task
+      kSpotWave,
+      kLeaderCutFromWorkers,
+      kZoneCut,          // nodes and workers of two zones can't reach each other
+    } kind = kCrashLeader;
+    double for_s = 0;
+    double restart_s = 3;
+  };
+  std::vector<Fault> faults;
+};
+
+class World {
+ public:
+  explicit World(const WorldOptions& options);
+  ~World();
+
+  void Run();
+
+  const std::vector<std::string>& broken() const { return broken_; }
+  int tasks_started() const { return tasks_started_; }
+  int jobs_done() const { return jobs_done_; }
+  int jobs_cancelled() const { return jobs_cancelled_; }
+  int jobs_accepted() const { return jobs_accepted_; }
+  int takeovers() const { return takeovers_; }
+  size_t machines_left() const;
+  std::string Unfinished() const;
+  int stops_at_limit() const { return stops_; }
+  double now() const { return now_; }
+  // Tests add jobs of their own before Run.
+  void AddJob(double at_s, JobSpec spec, double run_s, double cancel_at_s = 0);
+
+ private:
+  struct Node;
+  struct Worker;
+  struct SimTask;
+  struct User;
+  struct Entry {
+    std::string value;
+    uint64_t version = 0, lease = 0;
+  };
+  struct Lease {
+    double ttl = 0, until = 0;
+  };
+  struct Change {
+    uint64_t revision = 0;
+    KeyValue item;
+  };
+  struct Watcher {
+    int node = 0, life = 0;
+    StateWatch watch;
+  };
+
+  using Event = std::function<void()>;
+  void At(double time, Event event);
+  void After(double delay, Event event) { At(now_ + delay, std::move(event)); }
+  double Random() { return std::uniform_real_distribution<double>()(rng_); }
+  double Latency() { return 0.002 + 0.01 * Random(); }
+
+  // Nodes.
+  void StartNode(int index);
+  void CrashNode(int index, double restart_s);
+  void TickNode(int index, int life);
+  void Handle(int index, Actions actions);
+  template <typename Input>
+  void Feed(int index, int life, Input input);
+  int LeaderIndex() const;
+
+  // State service.
+  template <typename Request>
+  void AskState(int node, const Request& request, bool watch = false);
+  StateResult Serve(const StateTransaction& request);
+  StateResult Serve(const StateGet& request);
+  StateResult Serve(const StateList& request);
+  StateResult Serve(const LeaseCreate& request);
+  StateResult Serve(const LeaseRenew& request);
+  bool StateDown(int node) const;
+  void ApplyOp(const StateOp& op);
+  void ExpireLeases();
+  void AnswerWatchers();
+  StateResult WatchAnswer(const StateWatch& watch) const;
+
+  // Cloud.
+  template <typename Request>
+  void AskCloud(int node, const Request& request);
+  CloudResult Serve(const CloudCatalog& request);
+  CloudResult Serve(const CloudRent& request);
+  CloudResult Serve(const CloudRelease& request);
+  CloudResult Serve(const CloudList& request);
+
+  // Workers.
+  void Boot(const std::string& name);
+  void Kill(const std::string& name);
+  void WorkerLoop(const std::string& name);
+  void SendReport(Worker& worker);
+  WorkerReport MakeReport(Worker& worker);
+  void Execute(Worker& worker, const std::vector<Command>& commands);
+  void StartTask(Worker& worker, const Command& command);
+  void TaskHasImage(const std::string& machine, const TaskKey& key,
+                    uint64_t attempt);
+  void EndTask(Worker& worker, SimTask& task, ExitReason reason);
+  void LoseAll(Worker& worker);
+  bool Reachable(int node, const Worker& worker) const;
+
+  // Users.
+  void SubmitJob(const std::string& id);
+  void PollJob(const std::string& id);
+  void CancelJob(const std::string& id);
+  void UserAnswer(const AnswerUser& answer);
+
+  // Rules.
+  void Break(const std::string& what);
+  void CheckStart(const Worker& worker, const SimTask& task);
+  void CheckStep();
+
+  WorldOptions options_;
+  ClusterSettings settings_;
+  std::mt19937_64 rng_;
+  double now_ = 0;
+  uint64_t event_order_ = 0;
+  struct Queued {
+    double time;
+    uint64_t order;
+    Event event;
+    bool operator<(const Queued& other) const {
+      return time != other.time ? time > other.time : order > other.order;
+    }
+  };
+  std::priority_queue<Queued> events_;
+
+  std::vector<std::unique_ptr<Node>> nodes_;
+
+  std::map<std::string, Entry> keys_;
+  std::map<uint64_t, Lease> leases_;
+  std::vector<Change> changes_;
+  std::vector<Watcher> watchers_;
+  uint64_t revision_ = 1, next_lease_ = 1;
+  double state_down_until_ = 0;
+
+  std::vector<MachineType> types_;
+  std::map<std::string, int> capacity_;
+  std::map<std::string, std::vector<std::string>> rents_;
+  std::vector<std::pair<double, std::vector<ListedMachine>>> lists_;
+  int next_machine_ = 1;
+  double cloud_down_until_ = 0;
+  std::map<std::string, std::unique_ptr<Worker>> workers_;
+
+  std::map<std::string, std::unique_ptr<User>> users_;
+  uint64_t next_request_ = 1;
+  struct Asked {
+    std::string job;
+    enum Kind { kSubmit, kPoll, kCancel } kind = kPoll;
+    bool answered = false;
+  };
+  std::map<uint64_t, Asked> asked_;
+  struct AskedReport {
+    std::string worker;
+    int node = 0;
+    uint64_t session = 0, sequence = 0;
+    double sent = 0;
+  };
+  std::map<uint64_t, AskedReport> reports_;
+  double zone_cut_until_ = 0;
+
+  std::vector<std::string> broken_;
+  int tasks_started_ = 0, jobs_done_ = 0, jobs_cancelled_ = 0;
+  int jobs_accepted_ = 0, takeovers_ = 0, stops_ = 0;
+  std::set<uint64_t> terms_seen_;
+};
+
+}  // namespace sorrelwood::test
--- /dev/null
+++ b/tests/world_test.cc
@@ -0,0 +1,139 @@
+// Seeded days in the simulated world: after every step each rule is checked.
+#include "world.h"
+
+#include <gtest/gtest.h>
+
+namespace sorrelwood::test {
+namespace {
+
+using Fault = WorldOptions::Fault;
+
+std::string Join(const std::vector<std::string>& lines) {
+  std::string text;
+  for (const std::string& line : lines) text += line + "\n";
+  return text;
+}
+
+struct Scenario {
+  const char* name;
+  WorldOptions options;
+  bool all_done;  // every job that was not cancelled is done by the end
+};
+
+Scenario Make(const char* name, bool all_done, std::vector<Fault> faults,
+              double noise = 0) {
+  Scenario s{name, {}, all_done};
+  s.options.faults = std::move(faults);
+  s.options.lose = noise;
+  s.options.late = noise;
+  s.options.repeat = noise;
+  s.options.policy.speculation_s = 15;
+  s.options.policy.wait_limit_s = 20;
+  s.options.policy.refit_s = 30;
+  return s;
+}
+
+std::vector<Scenario> Scenarios() {
+  std::vector<Scenario> all = {
+      Make("quiet", true, {}),
+      Make("noisy", true, {}, 0.02),
+      Make("leader_crash", true, {{50, Fault::kCrashLeader, 0, 3}}),
+      Make("leader_crash_noisy", true, {{50, Fault::kCrashLeader, 0, 3}}, 0.02),
+      Make("leader_back_at_once", true,
+           {{40, Fault::kCrashLeader, 0, 0.2},
+            {42, Fault::kCrashLeader, 0, 0.2},
+            {44, Fault::kCrashLeader, 0, 0.2}}),
+      Make("all_crash", true, {{60, Fault::kCrashAll, 0, 4}}, 0.01),
+      Make("state_outage", true, {{50, Fault::kStateOutage, 22, 0}}),
+      Make("outage_and_crash", true,
+           {{50, Fault::kStateOutage, 25, 0}, {70, Fault::kCrashAll, 0, 3}}),
+      Make("state_refuses_leader", true,
+           {{50, Fault::kStateRefusesLeader, 40, 0}}, 0.01),
+      Make("machines_die", true,
+           {{40, Fault::kMachineDies, 0, 0},
+            {41, Fault::kCrashLeader, 0, 3},
+            {60, Fault::kMachineDies, 0, 0}}),
+      Make("machine_cut", true,
+           {{40, Fault::kMachineCut, 40, 0}, {45, Fault::kCrashLeader, 0, 3}},
+           0.01),
+      Make("machine_hangs", true,
+           {{40, Fault::kMachineHangs, 10, 0},
+            {60, Fault::kMachineHangs, 60, 0},
+            {61, Fault::kCrashLeader, 0, 3}}),
+      Make("machine_sick", true, {{40, Fault::kMachineSick, 0, 0}}),
+      Make("spot_wave", true, {{50, Fault::kSpotWave, 0, 0}}, 0.01),
+      Make("cloud_outage", true,
+           {{40, Fault::kCloudOutage, 40, 0}, {45, Fault::kMachineDies, 0, 0},
+            {46, Fault::kCrashLeader, 0, 3}}),
+      Make("leader_cut_from_workers", false,
+           {{50, Fault::kLeaderCutFromWorkers, 30, 0}}),
+      Make("zone_cut", false,
+           {{50, Fault::kZoneCut, 40, 0}, {60, Fault::kCrashLeader, 0, 3}}),
+      Make("everything", false,
+           {{30, Fault::kMachineCut, 30, 0},
+            {40, Fault::kCrashLeader, 0, 0.5},
+            {50, Fault::kStateRefusesLeader, 20, 0},
+            {60, Fault::kMachineDies, 0, 0},
+            {80, Fault::kCloudOutage, 20, 0},
+            {85, Fault::kStateOutage, 25, 0},
+            {100, Fault::kCrashAll, 0, 3},
+            {125, Fault::kMachineHangs, 20, 0},
+            {130, Fault::kSpotWave, 0, 0}},
+           0.02),
+  };
+  all[14].options.boot_fail = 0.2;
+  all[13].options.spot_per_hour = 30;
+  return all;
+}
+
+class Days : public ::testing::TestWithParam<int> {};
+
+TEST_P(Days, KeepTheRules) {
+  const Scenario scenario = Scenarios()[static_cast<size_t>(GetParam())];
+  for (uint64_t seed = 1; seed <= 4; ++seed) {
+    SCOPED_TRACE(std::string(scenario.name) + " seed " + std::to_string(seed));
+    WorldOptions options = scenario.options;
+    options.seed = seed;
+    World world(options);
+    world.Run();
+    EXPECT_TRUE(world.broken().empty()) << Join(world.broken());
+    EXPECT_GT(world.tasks_started(), 20);
+    EXPECT_EQ(world.jobs_accepted(), options.jobs);
+    if (scenario.all_done)
+      EXPECT_EQ(world.jobs_done() + world.jobs_cancelled(), options.jobs)
+          << world.Unfinished();
+    else
+      EXPECT_GT(world.jobs_done(), options.jobs / 2);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    World, Days, ::testing::Range(0, static_cast<int>(Scenarios().size())),
+    [](const auto& test) {
+      return std::string(Scenarios()[static_cast<size_t>(test.param)].name);
+    });
+
+TEST(Day, RepeatsItselfForASeed) {
+  const WorldOptions options =
+      Make("", true, {{50, Fault::kCrashLeader, 0, 3}}, 0.02).options;
+  World first(options), second(options);
+  first.Run();
+  second.Run();
+  EXPECT_EQ(first.tasks_started(), second.tasks_started());
+  EXPECT_EQ(first.takeovers(), second.takeovers());
+}
+
+TEST(Day, IdleMachinesAreReturned) {
+  WorldOptions options;
+  options.jobs = 6;
+  options.submit_until_s = 20;
+  options.duration_s = 500;
+  World world(options);
+  world.Run();
+  EXPECT_EQ(world.jobs_done() + world.jobs_cancelled(), 6);
+  // What is left is the base, which has shrunk with the load.
+  EXPECT_LE(world.machines_left(), 2u);
+}
+
+}  // namespace
+}  // namespace sorrelwood::test
