--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -59,6 +59,8 @@
 inline constexpr size_t kMaxIdLength = 100;
 
 // --- Workers ---------------------------------------------------------------------
+// Pause before a new leader reads its records again after a failure (s).
+inline constexpr double kReloadPauseS = 0.3;
 // A machine is called silent after this many report intervals.
 inline constexpr double kSilentReports = 4.5;
 // At most this share of the machines is released early for silence: beyond it
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -39,6 +39,7 @@
 
 void Scheduler::Deposed() {
   active_ = false;
+  reload_at_ = 0;
   ++generation_;
   writer_.Clear();
   fleet_.Clear();
@@ -81,7 +82,7 @@
   machines_.Clear();
   progress_.clear();
   progress_keys_.clear();
-  next_policy_ = context_->now + 0.3;  // Tick loads again then
+  reload_at_ = context_->now + kReloadPauseS;
 }
 
 void Scheduler::LoadMachines(const StateResult& result) {
@@ -523,8 +524,8 @@
 void Scheduler::Tick() {
   if (!leadership_->leading()) return;
   if (!active_) {
-    if (next_policy_ > 0 && context_->now >= next_policy_) {
-      next_policy_ = 0;
+    if (reload_at_ > 0 && context_->now >= reload_at_) {
+      reload_at_ = 0;
       Load();
     }
     return;
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -88,6 +88,7 @@
   double elected_at_ = 0;
   double next_place_ = 0, next_silence_ = 0, next_write_ = 0, next_policy_ = 0,
          next_rank_ = 0;
+  double reload_at_ = 0;  // 0: no reading of the records has failed
   std::map<std::string, IntervalSet> progress_;  // while loading
   // Progress keys that exist, so that the end of a job removes them.
   std::map<std::string, std::set<uint32_t>> progress_keys_;
