--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -22,7 +22,7 @@
       fleet_(context, &jobs_, &machines_, &placement_, &writer_, settings,
              policy),
       waiting_(context, &jobs_, &machines_, policy, seed) {
-  fleet_.on_gone = [this](Machine* machine) { DropAll(machine); };
+  fleet_.on_gone = [this](Machine* machine) { DropEverything(machine); };
 }
 
 void Scheduler::LearnCatalog(const std::vector<MachineType>& types) {
@@ -391,11 +391,18 @@
 
 void Scheduler::DropAll(Machine* machine) {
   while (!machine->tasks.empty()) DropTask(machine, machine->tasks.begin());
-  machine->inherited = false;
   unknown_tasks_.erase(machine->name);
   CountUnaccounted();
 }
 
+// The machine is gone, or no leader can have kept its tasks alive so long. A new
+// session alone is less: an earlier leader may have placed tasks in it.
+void Scheduler::DropEverything(Machine* machine) {
+  machine->inherited = false;
+  machine->finished.clear();
+  DropAll(machine);
+}
+
 void Scheduler::Completed(Job* job, uint32_t task) {
   if (job->done.Contains(task)) return;
   jobs_.MarkDone(job, task);
@@ -596,8 +603,7 @@
     const double lost_at = m->inherited ? reach : m->last_answered + lease;
     if (context_->now > lost_at && (!m->tasks.empty() || m->inherited)) {
       context_->Info(name + " has been silent for its lease: its tasks are gone");
-      DropAll(m);
-      m->finished.clear();
+      DropEverything(m);
     }
     if (few && quiet > silence + kDirectTimeoutS + kPushEveryS)
       fleet_.Return(m, "it is silent");
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -60,6 +60,7 @@
   void Adopt(Machine* machine, const TaskReport& task);
   void DropTask(Machine* machine, std::map<TaskKey, Placed>::iterator it);
   void DropAll(Machine* machine);
+  void DropEverything(Machine* machine);
   void Completed(Job* job, uint32_t task);
   void Failed(Machine* machine, Job* job);
   void NoticeGiven(Machine* machine);
