--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -211,8 +211,12 @@
   return offers;
 }
 
-bool Fleet::JobAllows(const JobSpec& spec, const MachineType& type,
+bool Fleet::JobAllows(const Job& job, const MachineType& type,
                       const std::string& zone, bool spot) const {
+  const JobSpec& spec = job.spec();
+  if (spec.one_zone && !job.placed_in_zone.empty() &&
+      job.placed_in_zone.begin()->first != zone)
+    return false;
   if (spot && !spec.spot) return false;
   if (!spec.zone.empty() && spec.zone != zone) return false;
   if (!spec.types.empty() && std::find(spec.types.begin(), spec.types.end(),
@@ -241,7 +245,7 @@
   *team_cpus_left -= count * spec.cpus;
   for (Room& room : *rooms) {
     if (count < 1) return;
-    if (!JobAllows(spec, *room.type, room.zone, room.spot)) continue;
+    if (!JobAllows(job, *room.type, room.zone, room.spot)) continue;
     const double each = CoreSeconds(spec, *room.type);
     const double fit = std::min(count, std::floor(room.core_seconds / each));
     if (fit < 1) continue;
@@ -253,7 +257,7 @@
     const Offer* best = nullptr;
     double best_cost = 0;
     for (const Offer& offer : offers) {
-      if (!JobAllows(spec, *offer.type, offer.zone, offer.spot)) continue;
+      if (!JobAllows(job, *offer.type, offer.zone, offer.spot)) continue;
       const double fit = std::max(
           1.0, std::floor(offer.type->cpus * policy_.drain_s /
                           CoreSeconds(spec, *offer.type)));
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -75,7 +75,7 @@
   void Plan();
   void PlanJob(const Job& job, double* team_cpus_left, std::vector<Room>* rooms,
                std::map<std::string, int>* wanted);
-  bool JobAllows(const JobSpec& spec, const MachineType& type,
+  bool JobAllows(const Job& job, const MachineType& type,
                  const std::string& zone, bool spot) const;
   double CoreSeconds(const JobSpec& spec, const MachineType& type) const;
   std::vector<Offer> Offers() const;
