--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -239,6 +239,9 @@
     settings->hold_s = check("fleet.hold_s", fleet.hold_s(), 0, kMostSeconds);
   if (fleet.has_drain_s())
     settings->drain_s = check("fleet.drain_s", fleet.drain_s(), 1, kMostSeconds);
+  if (fleet.has_dear_drain_s())
+    settings->dear_drain_s =
+        check("fleet.dear_drain_s", fleet.dear_drain_s(), 1, kMostSeconds);
   if (fleet.has_base_share())
     settings->base_share = check("fleet.base_share", fleet.base_share(), 0, 10);
   if (fleet.has_use_spot()) settings->use_spot = fleet.use_spot();
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -113,6 +113,8 @@
 inline constexpr double kRefusedOfferS = 12.0;
 // The same after a 429 or an outage of the cloud (s).
 inline constexpr double kCloudTroubleS = 3.0;
+// An offer is dear when it costs this many times what the cheapest would.
+inline constexpr double kDearRatio = 1.6;
 // Room that is kept beyond the work there is before dearer machines are emptied.
 inline constexpr double kSurplusMargin = 1.15;
 // A machine that takes this many times its boot time is given up.
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -196,21 +196,20 @@
 
 std::vector<Fleet::Offer> Fleet::Offers() const {
   std::vector<Offer> offers;
-  for (const auto& [name, type] : types_) {
-    for (const std::string& zone : type.zones) {
-      for (const bool spot : {true, false}) {
-        if (spot && !policy_.use_spot) continue;
-        Offer offer{&type, zone, spot, spot ? type.spot_price : type.price};
-        auto refused = refused_until_.find(offer.Key());
-        if (refused != refused_until_.end() && context_->now < refused->second)
-          continue;
-        offers.push_back(offer);
-      }
-    }
-  }
+  for (const auto& [name, type] : types_)
+    for (const std::string& zone : type.zones)
+      for (const bool spot : {true, false})
+        if (!spot || policy_.use_spot)
+          offers.push_back(
+              {&type, zone, spot, spot ? type.spot_price : type.price});
   return offers;
 }
 
+bool Fleet::Refused(const Offer& offer) const {
+  auto refused = refused_until_.find(offer.Key());
+  return refused != refused_until_.end() && context_->now < refused->second;
+}
+
 bool Fleet::JobAllows(const Job& job, const MachineType& type,
                       const std::string& zone, bool spot) const {
   const JobSpec& spec = job.spec();
@@ -227,49 +226,110 @@
 }
 
 // What a task takes of a machine, its scarcest share counted as cores.
-double Fleet::CoreSeconds(const JobSpec& spec, const MachineType& type) const {
+double Fleet::Cores(const JobSpec& spec, const MachineType& type) const {
   double share = spec.cpus / type.cpus;
   if (type.memory_gb > 0)
     share = std::max(share, spec.memory_gb / type.memory_gb);
   if (type.gpus > 0) share = std::max(share, spec.gpus / type.gpus);
-  return share * type.cpus * std::min(jobs_->Estimate(spec), policy_.drain_s);
+  return share * type.cpus;
+}
+
+double Fleet::CoreSeconds(const JobSpec& spec, const MachineType& type,
+                          double drain_s) const {
+  return Cores(spec, type) * std::min(jobs_->Estimate(spec), drain_s);
+}
+
+std::map<std::string, double> Fleet::TeamLeft() const {
+  std::map<std::string, double> left;
+  for (const Team& team : settings_->teams)
+    left[team.name] = team.cpus_max - jobs_->use(team.name).cpus;
+  return left;
+}
+
+double Fleet::Startable(const Job& job,
+                        std::map<std::string, double>* team_left) const {
+  if (job.pending.empty() || job.finishing || context_->now < job.retry_at)
+    return 0;
+  double& left = (*team_left)[job.spec().team];
+  double count = job.pending.size() - static_cast<double>(job.waiting.size());
+  if (job.spec().cpus > 0)
+    count = std::min(count, std::floor(left / job.spec().cpus + 1e-6));
+  count = std::max(0.0, count);
+  left -= count * job.spec().cpus;
+  return count;
+}
+
+// What is up, booting and asked for, less what is placed there.
+std::vector<Fleet::Room> Fleet::Rooms(double drain_s) const {
+  std::vector<Room> rooms;
+  for (const auto& [name, machine] : machines_->all()) {
+    if (!machine->type || machine->releasing || machine->set_aside ||
+        machine->notice_until > 0)
+      continue;
+    Room room{machine->type, machine->zone, machine->spot,
+              machine->type->cpus * drain_s};
+    for (const auto& [key, placed] : machine->tasks) {
+      const Job* job = jobs_->Find(key.first);
+      if (!job) continue;
+      const double left =
+          jobs_->Estimate(job->spec()) -
+          (placed.running_since > 0 ? context_->now - placed.running_since : 0);
+      room.core_seconds -= Cores(job->spec(), *machine->type) *
+                           std::clamp(left, kLeastEstimateS, drain_s);
+    }
+    rooms.push_back(room);
+  }
+  for (const auto& [name, rent] : rents_) {
+    if (rent.record.answered) continue;
+    const MachineType* type = FindType(rent.record.type);
+    for (int i = 0; type && i < rent.record.count; ++i)
+      rooms.push_back(
+          {type, rent.record.zone, rent.record.spot, type->cpus * drain_s});
+  }
+  return rooms;
 }
 
-void Fleet::PlanJob(const Job& job, double* team_cpus_left,
+void Fleet::PlanJob(const Job& job, double count, double drain_s, bool dear,
                     std::vector<Room>* rooms,
                     std::map<std::string, int>* wanted) {
   const JobSpec& spec = job.spec();
-  double count = job.pending.size() - static_cast<double>(job.waiting.size());
-  count = std::min(count, std::floor(*team_cpus_left / spec.cpus + 1e-6));
-  if (count < 1) return;
-  *team_cpus_left -= count * spec.cpus;
   for (Room& room : *rooms) {
     if (count < 1) return;
     if (!JobAllows(job, *room.type, room.zone, room.spot)) continue;
-    const double each = CoreSeconds(spec, *room.type);
+    const double each = CoreSeconds(spec, *room.type, drain_s);
     const double fit = std::min(count, std::floor(room.core_seconds / each));
     if (fit < 1) continue;
     room.core_seconds -= fit * each;
     count -= fit;
   }
   const std::vector<Offer> offers = Offers();
+  double cheapest = 0;
+  for (const Offer& offer : offers) {
+    if (!JobAllows(job, *offer.type, offer.zone, offer.spot)) continue;
+    const double price = offer.price * Cores(spec, *offer.type) / offer.type->cpus;
+    if (cheapest == 0 || price < cheapest) cheapest = price;
+  }
   while (count >= 1) {
     const Offer* best = nullptr;
     double best_cost = 0;
     for (const Offer& offer : offers) {
-      if (!JobAllows(job, *offer.type, offer.zone, offer.spot)) continue;
-      const double fit = std::max(
-          1.0, std::floor(offer.type->cpus * policy_.drain_s /
-                          CoreSeconds(spec, *offer.type)));
+      if (Refused(offer) ||
+          !JobAllows(job, *offer.type, offer.zone, offer.spot))
+        continue;
+      if (!dear && offer.price * Cores(spec, *offer.type) / offer.type->cpus >
+                       cheapest * kDearRatio)
+        continue;
+      const double fit =
+          std::max(1.0, std::floor(offer.type->cpus * drain_s /
+                                   CoreSeconds(spec, *offer.type, drain_s)));
       const double cost = offer.price / std::min(fit, count);
       if (best && cost >= best_cost) continue;
       best = &offer;
       best_cost = cost;
     }
     if (!best) return;
-    const double each = CoreSeconds(spec, *best->type);
-    Room room{best->type, best->zone, best->spot,
-              best->type->cpus * policy_.drain_s};
+    const double each = CoreSeconds(spec, *best->type, drain_s);
+    Room room{best->type, best->zone, best->spot, best->type->cpus * drain_s};
     const double fit =
         std::min(count, std::max(1.0, std::floor(room.core_seconds / each)));
     room.core_seconds -= fit * each;
@@ -279,56 +339,39 @@
   }
 }
 
-void Fleet::Plan() {
-  std::vector<Room> rooms;
-  double cpus = 0;
-  for (auto& [name, machine] : machines_->all()) {
-    if (!machine->type || machine->releasing || machine->set_aside ||
-        machine->notice_until > 0)
-      continue;
-    cpus += machine->type->cpus;
-    Room room{machine->type, machine->zone, machine->spot,
-              machine->type->cpus * policy_.drain_s};
-    for (const auto& [key, placed] : machine->tasks) {
-      const Job* job = jobs_->Find(key.first);
-      if (!job) continue;
-      double part = 1;
-      if (placed.running_since > 0)
-        part = std::clamp(1 - (context_->now - placed.running_since) /
-                                  jobs_->Estimate(job->spec()),
-                          0.1, 1.0);
-      room.core_seconds -= part * CoreSeconds(job->spec(), *machine->type);
-    }
-    rooms.push_back(room);
-  }
-  for (const auto& [name, rent] : rents_) {
-    if (rent.record.answered) continue;
-    const MachineType* type = FindType(rent.record.type);
-    for (int i = 0; type && i < rent.record.count; ++i) {
-      cpus += type->cpus;
-      rooms.push_back({type, rent.record.zone, rent.record.spot,
-                       type->cpus * policy_.drain_s});
-    }
+void Fleet::PlanJobs(double drain_s, bool dear,
+                     std::map<std::string, int>* wanted) {
+  std::vector<Room> rooms = Rooms(drain_s);
+  // What the cheaper round wants is on its way as well.
+  for (const Offer& offer : Offers())
+    if (auto it = wanted->find(offer.Key()); it != wanted->end())
+      for (int i = 0; i < it->second; ++i)
+        rooms.push_back(
+            {offer.type, offer.zone, offer.spot, offer.type->cpus * drain_s});
+  std::map<std::string, double> team_left = TeamLeft();
+  for (Job* job : jobs_->queue()) {
+    const double count = Startable(*job, &team_left);
+    if (count >= 1) PlanJob(*job, count, drain_s, dear, &rooms, wanted);
   }
+}
+
+void Fleet::Plan() {
   std::map<std::string, int> wanted;
-  std::map<std::string, double> team_left;
-  for (const Team& team : settings_->teams)
-    team_left[team.name] = team.cpus_max - jobs_->use(team.name).cpus;
-  for (Job* job : jobs_->queue())
-    if (!job->pending.empty() && !job->finishing &&
-        context_->now >= job->retry_at)
-      PlanJob(*job, &team_left[job->spec().team], &rooms, &wanted);
+  PlanJobs(policy_.drain_s, /*dear=*/false, &wanted);
+  PlanJobs(policy_.dear_drain_s, /*dear=*/true, &wanted);
   const std::vector<Offer> offers = Offers();
-  // The base is rented whether or not there is work for it.
-  double planned = cpus;
+  double planned = 0;
+  for (const Room& room : Rooms(1)) planned += room.type->cpus;
   for (const Offer& offer : offers)
     if (auto it = wanted.find(offer.Key()); it != wanted.end())
       planned += it->second * offer.type->cpus;
+  // The base is rented whether or not there is work for it.
   while (planned < base_target_) {
     const Offer* best = nullptr;
     for (const Offer& offer : offers)
-      if (!best || offer.price / offer.type->cpus <
-                       best->price / best->type->cpus)
+      if (!Refused(offer) &&
+          (!best || offer.price / offer.type->cpus <
+                        best->price / best->type->cpus))
         best = &offer;
     if (!best) break;
     ++wanted[best->Key()];
@@ -469,12 +512,14 @@
     capacity += machine->type->cpus;
     for (const auto& [key, placed] : machine->tasks)
       if (const Job* job = jobs_->Find(key.first))
-        demand += CoreSeconds(job->spec(), *machine->type);
+        demand += Cores(job->spec(), *machine->type);
   }
   if (up.empty()) return;
+  std::map<std::string, double> team_left = TeamLeft();
   for (const Job* job : jobs_->queue())
-    demand += job->pending.size() * CoreSeconds(job->spec(), *up[0]->type);
-  demand /= policy_.drain_s;
+    demand += Startable(*job, &team_left) *
+              CoreSeconds(job->spec(), *up[0]->type, policy_.drain_s) /
+              policy_.drain_s;
   std::stable_sort(up.begin(), up.end(), [](const Machine* a, const Machine* b) {
     return PricePerCore(*a) > PricePerCore(*b);
   });
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -73,12 +73,22 @@
   void ReadList();
   void LearnList(const std::vector<ListedMachine>& listed);
   void Plan();
-  void PlanJob(const Job& job, double* team_cpus_left, std::vector<Room>* rooms,
-               std::map<std::string, int>* wanted);
+  std::vector<Room> Rooms(double drain_s) const;
+  // Rents for what the rooms can't do within `drain_s`. `dear`: with all offers,
+  // else only with those that cost little more than the cheapest would.
+  void PlanJobs(double drain_s, bool dear, std::map<std::string, int>* wanted);
+  void PlanJob(const Job& job, double count, double drain_s, bool dear,
+               std::vector<Room>* rooms, std::map<std::string, int>* wanted);
+  // Pending tasks that the team's limit lets run beside what runs already.
+  double Startable(const Job& job, std::map<std::string, double>* team_left) const;
+  std::map<std::string, double> TeamLeft() const;
   bool JobAllows(const Job& job, const MachineType& type,
                  const std::string& zone, bool spot) const;
-  double CoreSeconds(const JobSpec& spec, const MachineType& type) const;
+  double Cores(const JobSpec& spec, const MachineType& type) const;
+  double CoreSeconds(const JobSpec& spec, const MachineType& type,
+                     double drain_s) const;
   std::vector<Offer> Offers() const;
+  bool Refused(const Offer& offer) const;
   void Begin(const Offer& offer, int count);
   void CallRent(const std::string& name);
   void EndRent(const std::string& name);
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -82,7 +82,10 @@
   double Estimate(const JobSpec& spec) const;
   void LearnRunTime(const JobSpec& spec, double ran_s);
 
-  const TeamUse& use(const std::string& team) { return use_[team]; }
+  TeamUse use(const std::string& team) const {
+    auto it = use_.find(team);
+    return it == use_.end() ? TeamUse() : it->second;
+  }
   // Use of tasks whose job has ended but that may still be on a machine.
   void AddStray(const std::string& team, double cpus, double gpus);
 
