--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -103,6 +103,13 @@
 // How often the queue's order is judged anew (s).
 inline constexpr double kRankEveryS = 0.5;
 
+// A class whose tasks are to start within this time (s) has room kept free for
+// one of its usual jobs; no more than this share of all such room.
+inline constexpr double kReserveWithinS = 10.0;
+inline constexpr double kReserveMostShare = 0.12;
+// Weight of one more job in what is usual for its class.
+inline constexpr double kUsualLearning = 0.2;
+
 // --- Cloud ------------------------------------------------------------------------
 inline constexpr double kCloudTimeoutS = 5.0;
 // Share of the cloud's call rate that is used.
@@ -117,6 +124,11 @@
 inline constexpr double kDearRatio = 1.6;
 // Room that is kept beyond the work there is before dearer machines are emptied.
 inline constexpr double kSurplusMargin = 1.15;
+// Emptying a dear machine: the longest time to save (s) that is worth it, the
+// free room elsewhere as a multiple of what moves, the pause between two (s).
+inline constexpr double kMoveSaveS = 5.0;
+inline constexpr double kMoveRoom = 1.3;
+inline constexpr double kMovePauseS = 6.0;
 // A machine that takes this many times its boot time is given up.
 inline constexpr double kBootPatience = 2.5;
 inline constexpr double kBootPatienceMinS = 30.0;
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -529,6 +529,38 @@
     machine->surplus = true;
     capacity -= machine->type->cpus;
   }
+  EmptySurplus(up);
+}
+
+// Moves what can save its progress off the dearest surplus machine, when all
+// that is on it can and the cheaper ones have the room now. One at a time, so
+// that the moved work has found its place before the next.
+void Fleet::EmptySurplus(const std::vector<Machine*>& dearest_first) {
+  if (context_->now < next_move_) return;
+  double room = 0;
+  for (const Machine* machine : dearest_first)
+    if (!machine->surplus) room += machine->cpus_free();
+  const double cheapest = PricePerCore(*dearest_first.back());
+  for (Machine* machine : dearest_first) {
+    if (!machine->surplus || machine->tasks.empty() ||
+        PricePerCore(*machine) < cheapest * kDearRatio)
+      continue;
+    const bool movable = std::all_of(
+        machine->tasks.begin(), machine->tasks.end(), [&](const auto& item) {
+          const Job* job = jobs_->Find(item.first.first);
+          return job && !item.second.stop && item.second.running_since > 0 &&
+                 job->spec().checkpoint_s > 0 &&
+                 job->spec().save_s <= kMoveSaveS;
+        });
+    if (!movable || machine->cpus_used * kMoveRoom > room) continue;
+    for (auto& [key, placed] : machine->tasks) {
+      placed.stop = true;
+      placed.stop_grace_s = jobs_->Find(key.first)->spec().save_s + 1;
+    }
+    next_move_ = context_->now + kMovePauseS;
+    context_->Info("emptying " + machine->name);
+    return;
+  }
 }
 
 }  // namespace sorrelwood
--- a/src/core/job_table.cc
+++ b/src/core/job_table.cc
@@ -16,6 +16,13 @@
   slot->inherited = inherited;
   slot->pending.Add(0, slot->spec().tasks);
   slot->queued_at = now;
+  const JobSpec& spec = slot->spec();
+  auto [usual, first] = usual_.try_emplace(spec.job_class);
+  const double weight = first ? 1 : kUsualLearning;
+  usual->second.tasks += (spec.tasks - usual->second.tasks) * weight;
+  usual->second.cpus = spec.cpus;
+  usual->second.memory_gb = spec.memory_gb;
+  usual->second.priority = spec.priority;
   queue_stale_ = true;
   return slot.get();
 }
@@ -101,6 +108,11 @@
   known += (ratio - known) * kEstimateLearning;
 }
 
+const UsualJob* JobTable::Usual(const std::string& job_class) const {
+  auto it = usual_.find(job_class);
+  return it == usual_.end() ? nullptr : &it->second;
+}
+
 void JobTable::Place(Job* job, uint32_t task, const std::string& machine,
                      const std::string& zone) {
   job->pending.Remove(task);
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -49,6 +49,12 @@
   const std::string& id() const { return record->spec.id; }
 };
 
+// What a job of a class usually asks for.
+struct UsualJob {
+  double tasks = 0, cpus = 0, memory_gb = 0;
+  Priority priority = Priority::kStandard;
+};
+
 struct TeamUse {
   double cpus = 0, gpus = 0;
 };
@@ -82,6 +88,9 @@
   double Estimate(const JobSpec& spec) const;
   void LearnRunTime(const JobSpec& spec, double ran_s);
 
+  // Nothing until a job of the class has been seen.
+  const UsualJob* Usual(const std::string& job_class) const;
+
   TeamUse use(const std::string& team) const {
     auto it = use_.find(team);
     return it == use_.end() ? TeamUse() : it->second;
@@ -95,6 +104,7 @@
   bool queue_stale_ = true;
   std::map<std::string, TeamUse> use_;
   std::map<std::string, double> estimate_ratio_;  // by class
+  std::map<std::string, UsualJob> usual_;         // by class
 };
 
 // The completed tasks of one progress key as hexadecimal bits, and back.
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -85,17 +85,87 @@
   machine->UseImage(spec.image);
 }
 
+double Placement::Slots(const Machine& machine, const UsualJob& usual,
+                        double less_cpus, double less_memory_gb) {
+  if (!machine.type || machine.surplus) return 0;
+  const double cpus = machine.cpus_free() - less_cpus;
+  const double memory_gb =
+      machine.type->memory_gb - machine.memory_used - less_memory_gb;
+  double slots = cpus / std::max(usual.cpus, 0.1);
+  if (usual.memory_gb > 0) slots = std::min(slots, memory_gb / usual.memory_gb);
+  return std::max(0.0, std::floor(slots + 1e-6));
+}
+
+void Placement::MeasureReserves() {
+  reserves_.clear();
+  for (const Objective& objective : settings_->objectives) {
+    if (objective.kind != "wait" || objective.within_s > kReserveWithinS)
+      continue;
+    const UsualJob* usual = jobs_->Usual(objective.job_class);
+    if (!usual) continue;
+    Reserve reserve;
+    reserve.job_class = objective.job_class;
+    reserve.usual = *usual;
+    double total = 0;
+    for (const auto& [name, machine] : machines_->all()) {
+      if (!Usable(*machine)) continue;
+      reserve.free += Slots(*machine, *usual, 0, 0);
+      total += Slots(*machine, *usual, -machine->cpus_used,
+                     -machine->memory_used);
+    }
+    reserve.slots =
+        std::min(std::ceil(usual->tasks), total * kReserveMostShare);
+    reserves_.push_back(std::move(reserve));
+  }
+}
+
+bool Placement::StartsAtOnce(const Job& job) const {
+  return std::any_of(reserves_.begin(), reserves_.end(), [&](const Reserve& r) {
+    return r.job_class == job.spec().job_class;
+  });
+}
+
+bool Placement::LeavesReserves(const Job& job, const Machine& machine) const {
+  const JobSpec& spec = job.spec();
+  for (const Reserve& reserve : reserves_) {
+    if (reserve.job_class == spec.job_class ||
+        spec.priority > reserve.usual.priority)
+      continue;
+    const double before = Slots(machine, reserve.usual, 0, 0);
+    const double after =
+        Slots(machine, reserve.usual, spec.cpus, spec.memory_gb);
+    if (after < before && reserve.free - before + after < reserve.slots)
+      return false;
+  }
+  return true;
+}
+
+void Placement::AssignCounted(Job* job, uint32_t task, Machine* machine,
+                              uint64_t term) {
+  for (Reserve& reserve : reserves_)
+    reserve.free -= Slots(*machine, reserve.usual, 0, 0) -
+                    Slots(*machine, reserve.usual, job->spec().cpus,
+                          job->spec().memory_gb);
+  Assign(job, task, machine, term);
+}
+
 Machine* Placement::BestFit(const Job& job,
                             const std::vector<Machine*>& candidates,
                             bool owned_only) const {
   Machine* best = nullptr;
-  std::tuple<bool, bool, double, bool> best_rank;
+  std::tuple<bool, bool, bool, double, bool> best_rank;
+  const bool at_once = StartsAtOnce(job);
   for (Machine* machine : candidates) {
     if (owned_only && !machine->base) continue;
-    if (!machine->Fits(job.spec()) || !Allowed(job, *machine)) continue;
-    const std::tuple<bool, bool, double, bool> rank{
-        machine->surplus, !machine->base, machine->cpus_free(),
-        !machine->HasImage(job.spec().image)};
+    if (!machine->Fits(job.spec()) || !Allowed(job, *machine) ||
+        !LeavesReserves(job, *machine))
+      continue;
+    // What is to start at once goes where its image is; else the image only
+    // decides between equals.
+    const bool fetch = !machine->HasImage(job.spec().image);
+    const std::tuple<bool, bool, bool, double, bool> rank{
+        machine->surplus, at_once && fetch, !machine->base,
+        machine->cpus_free(), fetch};
     if (best && !(rank < best_rank)) continue;
     best = machine;
     best_rank = rank;
@@ -114,6 +184,7 @@
     std::shuffle(candidates.begin(), candidates.end(), context_->rng);
     candidates.resize(kSampleMachines);
   }
+  MeasureReserves();
   size_t looked_at = 0;
   for (Job* job : jobs_->queue()) {
     if (!Startable(*job)) continue;
@@ -123,7 +194,7 @@
         if (!WithinQuota(*job)) break;
         Machine* machine = BestFit(*job, candidates, owned);
         if (!machine) break;
-        Assign(job, *task, machine, term);
+        AssignCounted(job, *task, machine, term);
       }
     }
   }
@@ -131,6 +202,7 @@
 
 void Placement::Fill(Machine* machine, uint64_t term) {
   if (!Usable(*machine) || machine->surplus) return;
+  MeasureReserves();
   size_t looked_at = 0;
   for (Job* job : jobs_->queue()) {
     if (machine->cpus_free() <= 0) return;
@@ -139,10 +211,10 @@
     for (const bool owned : {true, false}) {
       if (owned && !machine->base) continue;
       while (machine->Fits(job->spec()) && Allowed(*job, *machine) &&
-             WithinQuota(*job)) {
+             WithinQuota(*job) && LeavesReserves(*job, *machine)) {
         auto task = NextTask(*job, owned);
         if (!task) break;
-        Assign(job, *task, machine, term);
+        AssignCounted(job, *task, machine, term);
       }
     }
   }
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -46,6 +46,22 @@
   void Assign(Job* job, uint32_t task, Machine* machine, uint64_t term);
 
  private:
+  // Room kept free for classes that are to start at once.
+  struct Reserve {
+    std::string job_class;
+    UsualJob usual;
+    double slots = 0;  // that are to stay free
+    double free = 0;   // that are free now
+  };
+  void MeasureReserves();
+  static double Slots(const Machine& machine, const UsualJob& usual,
+                      double less_cpus, double less_memory_gb);
+  // A task of `job` on the machine leaves the reserves whole, or is one of those
+  // that they are for.
+  bool LeavesReserves(const Job& job, const Machine& machine) const;
+  bool StartsAtOnce(const Job& job) const;
+  void AssignCounted(Job* job, uint32_t task, Machine* machine, uint64_t term);
+
   Machine* BestFit(const Job& job, const std::vector<Machine*>& candidates,
                    bool owned_only) const;
 
@@ -56,6 +72,7 @@
   int unaccounted_machines_ = 0;
   double unaccounted_cpus_ = 0, unaccounted_gpus_ = 0;
   uint32_t attempts_ = 0;
+  std::vector<Reserve> reserves_;
 };
 
 }  // namespace sorrelwood
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -78,8 +78,8 @@
   double wait_limit_s = 10800;      // b
   double hold_s = 25;               // idle time before a rented machine goes
   double drain_s = 30;       // backlog that may wait for running room
-  double dear_drain_s = 120; // the same before dear machines are rented
-  double base_share = 0.25;         // base at the start, of all guarantees
+  double dear_drain_s = 300; // the same before dear machines are rented
+  double base_share = 0.1;         // base at the start, of all guarantees
   double base_memory_s = 120;       // how slowly the base follows the load
   bool use_spot = true;
   double refit_s = 180;
