--- a/src/app/app.cc
+++ b/src/app/app.cc
@@ -79,6 +79,7 @@
   for (const Sibling& sibling : settings_.siblings)
     senders_.push_back(std::make_unique<MeshSender>(sibling.address));
   StartLanes();
+  controller_.set_debug(spdlog::should_log(spdlog::level::debug));
   StartThread("core", [this] { CoreLoop(); });
   spdlog::info("{} in {} serves on {}", settings_.node, settings_.zone,
                settings_.listen);
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -50,6 +50,9 @@
     Wrong(name, "must be a string, not empty");
     return "";
   }
+  std::string OptionalText(const char* name) const {
+    return Find(name) ? Text(name) : std::string();
+  }
   std::string Address(const char* name) const {
     const std::string text = Text(name);
     Endpoint endpoint;
@@ -163,6 +166,7 @@
   for (const Section& item : cluster.List("objectives")) {
     Objective objective;
     objective.kind = item.Text("kind");
+    objective.job_class = item.OptionalText("class");
     objective.within_s = item.Number("within_s", 0, kMostSeconds, &none);
     s->objectives.push_back(std::move(objective));
   }
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -104,9 +104,10 @@
 inline constexpr double kRankEveryS = 0.5;
 
 // A class whose tasks are to start within this time (s) has room kept free for
-// one of its usual jobs; no more than this share of all such room.
+// some of its usual jobs; no more than this share of all such room.
 inline constexpr double kReserveWithinS = 10.0;
 inline constexpr double kReserveMostShare = 0.12;
+inline constexpr double kReserveJobs = 2.0;  // how many usual jobs it holds
 // Weight of one more job in what is usual for its class.
 inline constexpr double kUsualLearning = 0.2;
 
@@ -135,6 +136,9 @@
 inline constexpr int kMaxPerRent = 50;
 inline constexpr size_t kMaxPerRelease = 100;
 
+// How often the teams are described in the debug log (s).
+inline constexpr double kDebugEveryS = 5.0;
+
 // --- Threads ----------------------------------------------------------------------
 // Stack of a connection's thread (bytes): the library's buffers take 20 KiB.
 inline constexpr size_t kConnectionStack = 192 * 1024;
--- a/src/core/context.h
+++ b/src/core/context.h
@@ -25,6 +25,7 @@
   double wall = 0;  // time of day, s
   std::mt19937_64 rng;
   Actions out;
+  bool debug = false;  // whether debug lines are wanted
 
   void Transact(StateLane lane, std::vector<Guard> guards,
                 std::vector<StateOp> ops, StateCallback done) {
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -42,6 +42,7 @@
     Scheduler::Figures scheduler;
   };
   Figures Measure();
+  void set_debug(bool debug) { context_.debug = debug; }
 
  private:
   void Begin(Time time);
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -28,6 +28,16 @@
   return false;
 }
 
+bool Placement::WithinGuarantee(const Job& job) const {
+  for (const Team& team : settings_->teams) {
+    if (team.name != job.spec().team) continue;
+    const TeamUse use = jobs_->use(team.name);
+    return use.cpus + job.spec().cpus <= team.cpus &&
+           use.gpus + job.spec().gpus <= team.gpus;
+  }
+  return false;
+}
+
 bool Placement::Allowed(const Job& job, const Machine& machine) const {
   const JobSpec& spec = job.spec();
   if (machine.spot && !spec.spot) return false;
@@ -114,7 +124,8 @@
                      -machine->memory_used);
     }
     reserve.slots =
-        std::min(std::ceil(usual->tasks), total * kReserveMostShare);
+        std::min(std::ceil(usual->tasks * kReserveJobs),
+                 total * kReserveMostShare);
     reserves_.push_back(std::move(reserve));
   }
 }
@@ -153,19 +164,19 @@
                             const std::vector<Machine*>& candidates,
                             bool owned_only) const {
   Machine* best = nullptr;
-  std::tuple<bool, bool, bool, double, bool> best_rank;
+  std::tuple<bool, bool, double, bool, double, bool> best_rank;
   const bool at_once = StartsAtOnce(job);
   for (Machine* machine : candidates) {
     if (owned_only && !machine->base) continue;
     if (!machine->Fits(job.spec()) || !Allowed(job, *machine) ||
         !LeavesReserves(job, *machine))
       continue;
-    // What is to start at once goes where its image is; else the image only
-    // decides between equals.
+    // The image decides between equals. What is to start at once goes where its
+    // image is, whatever the fit, and among such machines to the next to report.
     const bool fetch = !machine->HasImage(job.spec().image);
-    const std::tuple<bool, bool, bool, double, bool> rank{
-        machine->surplus, at_once && fetch, !machine->base,
-        machine->cpus_free(), fetch};
+    const std::tuple<bool, bool, double, bool, double, bool> rank{
+        machine->surplus, at_once && fetch, at_once ? machine->last_heard : 0,
+        !machine->base,   machine->cpus_free(), fetch};
     if (best && !(rank < best_rank)) continue;
     best = machine;
     best_rank = rank;
@@ -185,16 +196,20 @@
     candidates.resize(kSampleMachines);
   }
   MeasureReserves();
-  size_t looked_at = 0;
-  for (Job* job : jobs_->queue()) {
-    if (!Startable(*job)) continue;
-    if (++looked_at > kFrontJobs) break;
-    for (const bool owned : {true, false}) {
-      while (auto task = NextTask(*job, owned)) {
-        if (!WithinQuota(*job)) break;
-        Machine* machine = BestFit(*job, candidates, owned);
-        if (!machine) break;
-        AssignCounted(job, *task, machine, term);
+  // First every team up to its guarantee, then whoever is next.
+  for (const bool guaranteed : {true, false}) {
+    size_t looked_at = 0;
+    for (Job* job : jobs_->queue()) {
+      if (!Startable(*job)) continue;
+      if (++looked_at > kFrontJobs) break;
+      for (const bool owned : {true, false}) {
+        while (auto task = NextTask(*job, owned)) {
+          if (!WithinQuota(*job) || (guaranteed && !WithinGuarantee(*job)))
+            break;
+          Machine* machine = BestFit(*job, candidates, owned);
+          if (!machine) break;
+          AssignCounted(job, *task, machine, term);
+        }
       }
     }
   }
@@ -203,18 +218,21 @@
 void Placement::Fill(Machine* machine, uint64_t term) {
   if (!Usable(*machine) || machine->surplus) return;
   MeasureReserves();
-  size_t looked_at = 0;
-  for (Job* job : jobs_->queue()) {
-    if (machine->cpus_free() <= 0) return;
-    if (!Startable(*job)) continue;
-    if (++looked_at > kFrontJobs) return;
-    for (const bool owned : {true, false}) {
-      if (owned && !machine->base) continue;
-      while (machine->Fits(job->spec()) && Allowed(*job, *machine) &&
-             WithinQuota(*job) && LeavesReserves(*job, *machine)) {
-        auto task = NextTask(*job, owned);
-        if (!task) break;
-        AssignCounted(job, *task, machine, term);
+  for (const bool guaranteed : {true, false}) {
+    size_t looked_at = 0;
+    for (Job* job : jobs_->queue()) {
+      if (machine->cpus_free() <= 0) return;
+      if (!Startable(*job)) continue;
+      if (++looked_at > kFrontJobs) break;
+      for (const bool owned : {true, false}) {
+        if (owned && !machine->base) continue;
+        while (machine->Fits(job->spec()) && Allowed(*job, *machine) &&
+               WithinQuota(*job) && LeavesReserves(*job, *machine) &&
+               (!guaranteed || WithinGuarantee(*job))) {
+          auto task = NextTask(*job, owned);
+          if (!task) break;
+          AssignCounted(job, *task, machine, term);
+        }
       }
     }
   }
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -28,6 +28,9 @@
   // May `job` have a task started at all now?
   bool Startable(const Job& job) const;
   bool WithinQuota(const Job& job) const;
+  // One more task keeps the team within its guarantee: it need not wait for
+  // other teams.
+  bool WithinGuarantee(const Job& job) const;
   // Type, zone, kind and the job's other tasks allow the machine.
   bool Allowed(const Job& job, const Machine& machine) const;
   bool Usable(const Machine& machine) const;
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
 
 #include "core/constants.h"
 #include "core/keys.h"
@@ -144,6 +145,10 @@
   if (!known || jobs_.Find(id)) return;
   const bool inherited = known->version < leadership_->guard().version;
   Job* job = jobs_.Add(known->job, known->version, inherited, context_->now);
+  if (context_->debug)
+    context_->Debug("new job " + id + " of " + job->spec().job_class + ", " +
+                    std::to_string(job->spec().tasks) + " tasks, image " +
+                    job->spec().image + ", team " + job->spec().team);
   jobs_.Rank(settings_->teams, context_->wall);
   auto progress = progress_.find(id);
   if (progress == progress_.end()) return;
@@ -293,6 +298,9 @@
   placed->phase = PlacedPhase::kPresent;
   if (task.state == TaskState::kRunning && placed->running_since == 0) {
     placed->running_since = context_->now;
+    if (context_->debug)
+      context_->Debug("running " + task.job + "/" + std::to_string(task.task) +
+                      " on " + machine->name);
     if (Job* job = jobs_.Find(task.job)) waiting_.LearnStart(job, *machine);
   }
   placed->state = task.state;
@@ -505,6 +513,9 @@
     placed.sent_session = report.session;
     placed.sent_sequence = report.sequence;
     placed.sent_at = context_->now;
+    if (context_->debug)
+      context_->Debug("start " + key.first + "/" + std::to_string(key.second) +
+                      " on " + machine->name);
     orders.push_back(
         {CommandKind::kStart, key.first, key.second, placed.attempt, 0});
   }
@@ -555,6 +566,10 @@
     next_rank_ = context_->now + kRankEveryS;
     jobs_.Rank(settings_->teams, context_->wall);
   }
+  if (context_->debug && context_->now >= next_debug_) {
+    next_debug_ = context_->now + kDebugEveryS;
+    DescribeTeams();
+  }
   if (context_->now >= next_place_) {
     next_place_ = context_->now + kPlaceEveryS;
     if (leadership_->MayLaunch()) placement_.Pass(leadership_->term());
@@ -711,6 +726,25 @@
       });
 }
 
+void Scheduler::DescribeTeams() {
+  for (const Team& team : settings_->teams) {
+    double jobs = 0, pending = 0, backlog_s = 0;
+    for (const Job* job : jobs_.queue()) {
+      if (job->spec().team != team.name) continue;
+      ++jobs;
+      pending += job->pending.size() * job->spec().cpus;
+      backlog_s = job->team_backlog_s;
+    }
+    char line[200];
+    snprintf(line, sizeof(line),
+             "team %s uses %.0f of %.0f CPUs, %.0f more are pending in %.0f "
+             "jobs, %.0f s of work at its limit",
+             team.name.c_str(), jobs_.use(team.name).cpus, team.cpus_max,
+             pending, jobs, backlog_s);
+    context_->Debug(line);
+  }
+}
+
 std::vector<JobCounts> Scheduler::Counts() {
   std::vector<JobCounts> counts;
   if (!active_) return counts;
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -71,6 +71,7 @@
   void CountUnaccounted();
   void WriteFinished();
   void Finish(Job* job);
+  void DescribeTeams();
 
   Context* context_;
   Directory* directory_;
@@ -88,7 +89,7 @@
   uint64_t generation_ = 0;
   double elected_at_ = 0;
   double next_place_ = 0, next_silence_ = 0, next_write_ = 0, next_policy_ = 0,
-         next_rank_ = 0;
+         next_rank_ = 0, next_debug_ = 0;
   double reload_at_ = 0;  // 0: no reading of the records has failed
   std::map<std::string, IntervalSet> progress_;  // while loading
   // Progress keys that exist, so that the end of a job removes them.
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -140,6 +140,8 @@
   "siblings":[{"node_name":"perch-1","site":"b","addr":"10.0.0.2:8081"}],
   "outside":{"cloud":"10.2.0.2:8443","state":"10.2.0.1:2379"},
   "cluster":{"teams":[{"name":"t","cpus":4.0,"cpus_max":8.0}],
+    "objectives":[{"kind":"wait","class":"fast","within_s":3.0,"share":0.8},
+                  {"kind":"guarantee","within_s":20.0,"share":0.85}],
     "workers":{"report_s":2.0,"lease_s":14.0,"cancel_s":44.0},
     "state":{"rps":150.0,"write_rps":60.0,"value_kb":8.0,"txn_ops":16},
     "cloud":{"rps":4.0,"list_lag_s":5.0},
@@ -152,6 +154,8 @@
   EXPECT_EQ(settings.node, "perch-0");
   EXPECT_EQ(settings.siblings.size(), 1u);
   EXPECT_EQ(settings.state_txn_ops, 16);
+  ASSERT_EQ(settings.objectives.size(), 2u);
+  EXPECT_EQ(settings.objectives[0].job_class, "fast");
 }
 
 TEST(Settings, SayWhichFieldIsWrong) {
