--- a/src/app/app.cc
+++ b/src/app/app.cc
@@ -87,7 +87,8 @@
   return true;
 }
 
-// --- The core ------------------------------------------------------------------
+// --- The core
+// ------------------------------------------------------------------
 
 void App::Post(Input input) {
   std::lock_guard lock(input_mutex_);
@@ -245,7 +246,8 @@
     StartThread("mesh-send", [&sender = *sender] { sender.Run(); });
 }
 
-// --- Requests -------------------------------------------------------------------
+// --- Requests
+// -------------------------------------------------------------------
 
 App::Answer App::Ask(const std::function<Input(uint64_t)>& make) {
   auto slot = std::make_shared<Slot>();
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -236,13 +236,14 @@
     settings->tree_count = static_cast<int>(
         check("waiting_policy.tree_count", waiting.tree_count(), 1, 50));
   if (waiting.has_tree_samples())
-    settings->tree_samples = static_cast<int>(
-        check("waiting_policy.tree_samples", waiting.tree_samples(), 10, 20000));
+    settings->tree_samples = static_cast<int>(check(
+        "waiting_policy.tree_samples", waiting.tree_samples(), 10, 20000));
   const auto& fleet = parsed.fleet();
   if (fleet.has_hold_s())
     settings->hold_s = check("fleet.hold_s", fleet.hold_s(), 0, kMostSeconds);
   if (fleet.has_drain_s())
-    settings->drain_s = check("fleet.drain_s", fleet.drain_s(), 1, kMostSeconds);
+    settings->drain_s =
+        check("fleet.drain_s", fleet.drain_s(), 1, kMostSeconds);
   if (fleet.has_dear_drain_s())
     settings->dear_drain_s =
         check("fleet.dear_drain_s", fleet.dear_drain_s(), 1, kMostSeconds);
--- a/src/core/actions.h
+++ b/src/core/actions.h
@@ -103,14 +103,14 @@
   std::string text;
 };
 
-using Action =
-    std::variant<StateTransaction, StateGet, StateList, StateWatch, LeaseCreate,
-                 LeaseRenew, LeaseEnd, CloudCatalog, CloudRent, CloudRelease,
-                 CloudList, DirectCommand, AnswerUser, AnswerWorker, MeshSend,
-                 LogLine>;
+using Action = std::variant<StateTransaction, StateGet, StateList, StateWatch,
+                            LeaseCreate, LeaseRenew, LeaseEnd, CloudCatalog,
+                            CloudRent, CloudRelease, CloudList, DirectCommand,
+                            AnswerUser, AnswerWorker, MeshSend, LogLine>;
 using Actions = std::vector<Action>;
 
-// --- What comes back -----------------------------------------------------------
+// --- What comes back
+// -----------------------------------------------------------
 
 enum class Outcome {
   kOk,
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -27,8 +27,9 @@
 // A worker drops answers that take longer than this (protocol).
 inline constexpr double kReportAnswerS = 4.0;
 
-// --- State service -------------------------------------------------------------
-// Wait for one answer (s). A few hundred milliseconds are usual now and then.
+// --- State service
+// ------------------------------------------------------------- Wait for one
+// answer (s). A few hundred milliseconds are usual now and then.
 inline constexpr double kStateTimeoutS = 2.0;
 inline constexpr double kRenewTimeoutS = 1.2;
 // One watch; short, so that a dead connection is noticed.
@@ -41,13 +42,19 @@
 inline constexpr double kFinishBatchS = 0.25;
 // Share of the state service's write rate that one leader uses.
 inline constexpr double kWriteShare = 0.5;
+// Pause after a write that did not get through (s).
+inline constexpr double kWriteRetryS = 0.3;
+// Bytes of values in one transaction: half of the protocol's 64 KiB, which also
+// has to hold keys, guards and quoting.
+inline constexpr size_t kMostWriteBytes = 32 * 1024;
 // Tasks whose completion one key holds: 16,384 bits are 4 KiB as hexadecimal.
 inline constexpr uint32_t kTasksPerProgressKey = 16384;
 // Items that one listing asks for.
 inline constexpr int kListPage = 200;
 
-// --- Users -----------------------------------------------------------------------
-// The user gives up after 5 s (submit) or 2 s (poll): answer 503 before that.
+// --- Users
+// ----------------------------------------------------------------------- The
+// user gives up after 5 s (submit) or 2 s (poll): answer 503 before that.
 inline constexpr double kSubmitAnswerS = 3.5;
 inline constexpr double kPollAnswerS = 1.5;
 // Requests that may wait for the state service at once; further ones get 503.
@@ -58,8 +65,9 @@
 inline constexpr size_t kMaxBody = 64 * 1024;
 inline constexpr size_t kMaxIdLength = 100;
 
-// --- Workers ---------------------------------------------------------------------
-// Pause before a new leader reads its records again after a failure (s).
+// --- Workers
+// --------------------------------------------------------------------- Pause
+// before a new leader reads its records again after a failure (s).
 inline constexpr double kReloadPauseS = 0.3;
 // A machine is called silent after this many report intervals.
 inline constexpr double kSilentReports = 4.5;
@@ -87,8 +95,9 @@
 // A machine that refused a task for want of room is left alone this long (s).
 inline constexpr double kRefusedPauseS = 3.0;
 
-// --- Placement ---------------------------------------------------------------------
-// How often queued work is matched with machines (s).
+// --- Placement
+// --------------------------------------------------------------------- How
+// often queued work is matched with machines (s).
 inline constexpr double kPlaceEveryS = 0.1;
 // Jobs from the front of the queue that one pass looks at.
 inline constexpr size_t kFrontJobs = 64;
@@ -107,11 +116,12 @@
 // some of its usual jobs; no more than this share of all such room.
 inline constexpr double kReserveWithinS = 10.0;
 inline constexpr double kReserveMostShare = 0.12;
-inline constexpr double kReserveJobs = 2.0;  // how many usual jobs it holds
+inline constexpr double kReserveJobs = 1.0;  // how many usual jobs it holds
 // Weight of one more job in what is usual for its class.
 inline constexpr double kUsualLearning = 0.2;
 
-// --- Cloud ------------------------------------------------------------------------
+// --- Cloud
+// ------------------------------------------------------------------------
 inline constexpr double kCloudTimeoutS = 5.0;
 // Share of the cloud's call rate that is used.
 inline constexpr double kCloudRateShare = 0.8;
@@ -123,7 +133,11 @@
 inline constexpr double kCloudTroubleS = 3.0;
 // An offer is dear when it costs this many times what the cheapest would.
 inline constexpr double kDearRatio = 1.6;
-// Room that is kept beyond the work there is before dearer machines are emptied.
+// How far over the time that an aim leaves the cheap machines' work may run
+// before dear ones are rented.
+inline constexpr double kDearSlack = 2.0;
+// Room that is kept beyond the work there is before dearer machines are
+// emptied.
 inline constexpr double kSurplusMargin = 1.15;
 // Emptying a dear machine: the longest time to save (s) that is worth it, the
 // free room elsewhere as a multiple of what moves, the pause between two (s).
@@ -139,8 +153,9 @@
 // How often the teams are described in the debug log (s).
 inline constexpr double kDebugEveryS = 5.0;
 
-// --- Threads ----------------------------------------------------------------------
-// Stack of a connection's thread (bytes): the library's buffers take 20 KiB.
+// --- Threads
+// ---------------------------------------------------------------------- Stack
+// of a connection's thread (bytes): the library's buffers take 20 KiB.
 inline constexpr size_t kConnectionStack = 192 * 1024;
 // Stack of every other thread (bytes).
 inline constexpr size_t kThreadStack = 256 * 1024;
--- a/src/core/directory.cc
+++ b/src/core/directory.cc
@@ -29,47 +29,47 @@
     // Watching from the listing's revision brings everything later, the
     // leader key included once it is read after it.
     const uint64_t revision = result.revision;
-    context_->Get(
-        StateLane::kLeader, keys::kLeader,
-        [this, sent, revision](const StateResult& got) {
-          busy_ = false;
-          if (got.outcome == Outcome::kOk && !got.items.empty()) {
-            LeaderRecord leader;
-            if (wire::ParseLeader(got.items[0].value, &leader))
-              LearnLeader(got.items[0].version, leader, got.items[0].version);
-          } else if (got.outcome == Outcome::kConflict) {
-            LearnLeader(0, LeaderRecord(), revision);
-          } else {
-            retry_at_ = context_->now + 0.3;
-            return;
-          }
-          revision_ = revision;
-          loaded_ = true;
-          synced_at_ = std::max(synced_at_, sent);
-          Watch();
-        });
+    context_->Get(StateLane::kLeader, keys::kLeader,
+                  [this, sent, revision](const StateResult& got) {
+                    busy_ = false;
+                    if (got.outcome == Outcome::kOk && !got.items.empty()) {
+                      LeaderRecord leader;
+                      if (wire::ParseLeader(got.items[0].value, &leader))
+                        LearnLeader(got.items[0].version, leader,
+                                    got.items[0].version);
+                    } else if (got.outcome == Outcome::kConflict) {
+                      LearnLeader(0, LeaderRecord(), revision);
+                    } else {
+                      retry_at_ = context_->now + 0.3;
+                      return;
+                    }
+                    revision_ = revision;
+                    loaded_ = true;
+                    synced_at_ = std::max(synced_at_, sent);
+                    Watch();
+                  });
   });
 }
 
 void Directory::Watch() {
   busy_ = true;
   const double sent = context_->now;
-  context_->Watch(
-      keys::kWatched, revision_, [this, sent](const StateResult& result) {
-        busy_ = false;
-        if (result.outcome != Outcome::kOk) {
-          retry_at_ = context_->now + 0.2;
-          return;
-        }
-        if (result.too_old) {
-          loaded_ = false;
-          return;
-        }
-        for (const KeyValue& change : result.items) Apply(change);
-        revision_ = std::max(revision_, result.revision);
-        synced_at_ = std::max(synced_at_, sent);
-        if (!busy_) Watch();
-      });
+  context_->Watch(keys::kWatched, revision_,
+                  [this, sent](const StateResult& result) {
+                    busy_ = false;
+                    if (result.outcome != Outcome::kOk) {
+                      retry_at_ = context_->now + 0.2;
+                      return;
+                    }
+                    if (result.too_old) {
+                      loaded_ = false;
+                      return;
+                    }
+                    for (const KeyValue& change : result.items) Apply(change);
+                    revision_ = std::max(revision_, result.revision);
+                    synced_at_ = std::max(synced_at_, sent);
+                    if (!busy_) Watch();
+                  });
 }
 
 void Directory::Apply(const KeyValue& change) {
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -82,7 +82,8 @@
   }
 }
 
-// --- Returning -------------------------------------------------------------------
+// --- Returning
+// -------------------------------------------------------------------
 
 void Fleet::Return(Machine* machine, const std::string& why) {
   if (machine->releasing) return;
@@ -99,22 +100,22 @@
     names.push_back(name);
   }
   return_in_flight_ = true;
-  context_->Release(
-      names, [this, names, generation = generation_](const CloudResult& result) {
-        if (generation != generation_) return;
-        return_in_flight_ = false;
-        if (result.outcome != Outcome::kOk) return;  // sent again
-        for (const std::string& name : names) {
-          returning_.erase(name);
-          Machine* machine = machines_->Find(name);
-          if (!machine) continue;
-          if (machine->recorded || machine->recording)
-            writer_->Remove(keys::Machine(name));
-          if (on_gone) on_gone(machine);
-          machines_->Remove(name);
-          Settled(name);
-        }
-      });
+  context_->Release(names, [this, names, generation = generation_](
+                               const CloudResult& result) {
+    if (generation != generation_) return;
+    return_in_flight_ = false;
+    if (result.outcome != Outcome::kOk) return;  // sent again
+    for (const std::string& name : names) {
+      returning_.erase(name);
+      Machine* machine = machines_->Find(name);
+      if (!machine) continue;
+      if (machine->recorded || machine->recording)
+        writer_->Remove(keys::Machine(name));
+      if (on_gone) on_gone(machine);
+      machines_->Remove(name);
+      Settled(name);
+    }
+  });
 }
 
 void Fleet::ReturnIdle() {
@@ -146,7 +147,8 @@
   }
 }
 
-// --- The list ----------------------------------------------------------------------
+// --- The list
+// ----------------------------------------------------------------------
 
 void Fleet::ReadList() {
   listing_ = true;
@@ -192,7 +194,8 @@
   }
 }
 
-// --- Renting -----------------------------------------------------------------------
+// --- Renting
+// -----------------------------------------------------------------------
 
 std::vector<Fleet::Offer> Fleet::Offers() const {
   std::vector<Offer> offers;
@@ -289,47 +292,54 @@
   return rooms;
 }
 
-void Fleet::PlanJob(const Job& job, double count, double drain_s, bool dear,
-                    std::vector<Room>* rooms,
+const Fleet::Offer* Fleet::Cheapest(const Job& job, double count, bool dear,
+                                    const std::vector<Offer>& offers) const {
+  const JobSpec& spec = job.spec();
+  const auto price = [&](const Offer& offer) {
+    return offer.price * Cores(spec, *offer.type) / offer.type->cpus;
+  };
+  double cheapest = 0;
+  for (const Offer& offer : offers)
+    if (JobAllows(job, *offer.type, offer.zone, offer.spot) &&
+        (cheapest == 0 || price(offer) < cheapest))
+      cheapest = price(offer);
+  const Offer* best = nullptr;
+  double best_cost = 0;
+  for (const Offer& offer : offers) {
+    if (Refused(offer) ||
+        !JobAllows(job, *offer.type, offer.zone, offer.spot) ||
+        (!dear && price(offer) > cheapest * kDearRatio))
+      continue;
+    const double fit = std::max(
+        1.0, std::floor(offer.type->cpus * policy_.drain_s /
+                        CoreSeconds(spec, *offer.type, policy_.drain_s)));
+    const double cost = offer.price / std::min(fit, count);
+    if (best && cost >= best_cost) continue;
+    best = &offer;
+    best_cost = cost;
+  }
+  return best;
+}
+
+void Fleet::PlanJob(const Job& job, double count, std::vector<Room>* rooms,
                     std::map<std::string, int>* wanted) {
   const JobSpec& spec = job.spec();
   for (Room& room : *rooms) {
     if (count < 1) return;
     if (!JobAllows(job, *room.type, room.zone, room.spot)) continue;
-    const double each = CoreSeconds(spec, *room.type, drain_s);
+    const double each = CoreSeconds(spec, *room.type, policy_.drain_s);
     const double fit = std::min(count, std::floor(room.core_seconds / each));
     if (fit < 1) continue;
     room.core_seconds -= fit * each;
     count -= fit;
   }
   const std::vector<Offer> offers = Offers();
-  double cheapest = 0;
-  for (const Offer& offer : offers) {
-    if (!JobAllows(job, *offer.type, offer.zone, offer.spot)) continue;
-    const double price = offer.price * Cores(spec, *offer.type) / offer.type->cpus;
-    if (cheapest == 0 || price < cheapest) cheapest = price;
-  }
   while (count >= 1) {
-    const Offer* best = nullptr;
-    double best_cost = 0;
-    for (const Offer& offer : offers) {
-      if (Refused(offer) ||
-          !JobAllows(job, *offer.type, offer.zone, offer.spot))
-        continue;
-      if (!dear && offer.price * Cores(spec, *offer.type) / offer.type->cpus >
-                       cheapest * kDearRatio)
-        continue;
-      const double fit =
-          std::max(1.0, std::floor(offer.type->cpus * drain_s /
-                                   CoreSeconds(spec, *offer.type, drain_s)));
-      const double cost = offer.price / std::min(fit, count);
-      if (best && cost >= best_cost) continue;
-      best = &offer;
-      best_cost = cost;
-    }
+    const Offer* best = Cheapest(job, count, /*dear=*/false, offers);
     if (!best) return;
-    const double each = CoreSeconds(spec, *best->type, drain_s);
-    Room room{best->type, best->zone, best->spot, best->type->cpus * drain_s};
+    const double each = CoreSeconds(spec, *best->type, policy_.drain_s);
+    Room room{best->type, best->zone, best->spot,
+              best->type->cpus * policy_.drain_s};
     const double fit =
         std::min(count, std::max(1.0, std::floor(room.core_seconds / each)));
     room.core_seconds -= fit * each;
@@ -339,26 +349,80 @@
   }
 }
 
-void Fleet::PlanJobs(double drain_s, bool dear,
-                     std::map<std::string, int>* wanted) {
-  std::vector<Room> rooms = Rooms(drain_s);
-  // What the cheaper round wants is on its way as well.
-  for (const Offer& offer : Offers())
-    if (auto it = wanted->find(offer.Key()); it != wanted->end())
-      for (int i = 0; i < it->second; ++i)
-        rooms.push_back(
-            {offer.type, offer.zone, offer.spot, offer.type->cpus * drain_s});
+void Fleet::PlanCheap(std::map<std::string, int>* wanted) {
+  std::vector<Room> rooms = Rooms(policy_.drain_s);
   std::map<std::string, double> team_left = TeamLeft();
   for (Job* job : jobs_->queue()) {
     const double count = Startable(*job, &team_left);
-    if (count >= 1) PlanJob(*job, count, drain_s, dear, &rooms, wanted);
+    if (count >= 1) PlanJob(*job, count, &rooms, wanted);
+  }
+}
+
+double Fleet::Slack(const Job& job) const {
+  const JobSpec& spec = job.spec();
+  const double estimate = jobs_->Estimate(spec);
+  const double age = context_->wall - job.record->submitted_wall_s;
+  double slack = policy_.dear_drain_s;
+  if (spec.deadline_s)
+    slack = std::min(slack, *spec.deadline_s - age - estimate);
+  for (const Objective& objective : settings_->objectives) {
+    if (objective.job_class != spec.job_class || objective.within_s <= 0)
+      continue;
+    if (objective.kind == "wait")
+      slack = std::min(slack, objective.within_s - age);
+    else if (objective.kind == "finished")
+      slack = std::min(slack, objective.within_s - age - estimate);
+  }
+  return slack;
+}
+
+void Fleet::PlanDear(std::map<std::string, int>* wanted) {
+  const std::vector<Offer> offers = Offers();
+  double cores = 0, work = 0, boot_s = 0;
+  for (const auto& [name, type] : types_)
+    boot_s = std::max(boot_s, type.boot_s);
+  for (const Room& room : Rooms(policy_.dear_drain_s)) {
+    cores += room.type->cpus;
+    work += room.type->cpus * policy_.dear_drain_s - room.core_seconds;
+  }
+  for (const Offer& offer : offers)
+    if (auto it = wanted->find(offer.Key()); it != wanted->end())
+      cores += it->second * offer.type->cpus;
+  std::map<std::string, double> team_left;  // core-seconds, by the team's limit
+  for (Job* job : jobs_->queue()) {
+    if (job->pending.empty() || job->finishing || context_->now < job->retry_at)
+      continue;
+    const JobSpec& spec = job->spec();
+    // An aim that is past, or that comes before a machine could be up, is no
+    // reason to pay more: the job has as long as one without an aim.
+    double slack = Slack(*job);
+    if (slack < boot_s) slack = policy_.dear_drain_s;
+    const double count = job->pending.size();
+    const double each = std::min(jobs_->Estimate(spec), slack) * spec.cpus;
+    double limit = 0;
+    for (const Team& team : settings_->teams)
+      if (team.name == spec.team) limit = team.cpus_max * slack;
+    double& used = team_left[spec.team];
+    const double mine = std::min(count * each, std::max(0.0, limit - used));
+    used += mine;
+    work += mine;
+    double short_of = work / (slack * kDearSlack) - cores;
+    double most = mine / slack;
+    while (short_of > 0 && most > 0) {
+      const Offer* best = Cheapest(*job, count, /*dear=*/true, offers);
+      if (!best) break;
+      ++(*wanted)[best->Key()];
+      cores += best->type->cpus;
+      short_of -= best->type->cpus;
+      most -= best->type->cpus;
+    }
   }
 }
 
 void Fleet::Plan() {
   std::map<std::string, int> wanted;
-  PlanJobs(policy_.drain_s, /*dear=*/false, &wanted);
-  PlanJobs(policy_.dear_drain_s, /*dear=*/true, &wanted);
+  PlanCheap(&wanted);
+  PlanDear(&wanted);
   const std::vector<Offer> offers = Offers();
   double planned = 0;
   for (const Room& room : Rooms(1)) planned += room.type->cpus;
@@ -369,9 +433,8 @@
   while (planned < base_target_) {
     const Offer* best = nullptr;
     for (const Offer& offer : offers)
-      if (!Refused(offer) &&
-          (!best || offer.price / offer.type->cpus <
-                        best->price / best->type->cpus))
+      if (!Refused(offer) && (!best || offer.price / offer.type->cpus <
+                                           best->price / best->type->cpus))
         best = &offer;
     if (!best) break;
     ++wanted[best->Key()];
@@ -417,7 +480,8 @@
                               (open.record.spot ? "spot" : "ordinary");
     if (result.outcome == Outcome::kRefused) {
       refused_until_[offer] =
-          context_->now + (result.no_capacity ? kRefusedOfferS : kCloudTroubleS);
+          context_->now +
+          (result.no_capacity ? kRefusedOfferS : kCloudTroubleS);
       EndRent(name);
       return;
     }
@@ -520,9 +584,10 @@
     demand += Startable(*job, &team_left) *
               CoreSeconds(job->spec(), *up[0]->type, policy_.drain_s) /
               policy_.drain_s;
-  std::stable_sort(up.begin(), up.end(), [](const Machine* a, const Machine* b) {
-    return PricePerCore(*a) > PricePerCore(*b);
-  });
+  std::stable_sort(up.begin(), up.end(),
+                   [](const Machine* a, const Machine* b) {
+                     return PricePerCore(*a) > PricePerCore(*b);
+                   });
   for (Machine* machine : up) {
     if (machine->base) break;
     if ((capacity - machine->type->cpus) < demand * kSurplusMargin) continue;
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -1,5 +1,5 @@
-// Renting and returning machines: one paced queue of calls, a record before each
-// rental, a hold before an idle machine goes, and the steady base.
+// Renting and returning machines: one paced queue of calls, a record before
+// each rental, a hold before an idle machine goes, and the steady base.
 #pragma once
 
 #include <functional>
@@ -74,13 +74,21 @@
   void LearnList(const std::vector<ListedMachine>& listed);
   void Plan();
   std::vector<Room> Rooms(double drain_s) const;
-  // Rents for what the rooms can't do within `drain_s`. `dear`: with all offers,
-  // else only with those that cost little more than the cheapest would.
-  void PlanJobs(double drain_s, bool dear, std::map<std::string, int>* wanted);
-  void PlanJob(const Job& job, double count, double drain_s, bool dear,
-               std::vector<Room>* rooms, std::map<std::string, int>* wanted);
+  // Rents what the rooms can't do within the drain time, with offers that cost
+  // little more than the cheapest would.
+  void PlanCheap(std::map<std::string, int>* wanted);
+  void PlanJob(const Job& job, double count, std::vector<Room>* rooms,
+               std::map<std::string, int>* wanted);
+  // Rents dear machines for jobs that would miss their aim on the cheap ones.
+  void PlanDear(std::map<std::string, int>* wanted);
+  // How long the job's last task may wait before the job's aim is missed.
+  double Slack(const Job& job) const;
+  // The offer that does `count` tasks of the job for the least.
+  const Offer* Cheapest(const Job& job, double count, bool dear,
+                        const std::vector<Offer>& offers) const;
   // Pending tasks that the team's limit lets run beside what runs already.
-  double Startable(const Job& job, std::map<std::string, double>* team_left) const;
+  double Startable(const Job& job,
+                   std::map<std::string, double>* team_left) const;
   std::map<std::string, double> TeamLeft() const;
   bool JobAllows(const Job& job, const MachineType& type,
                  const std::string& zone, bool spot) const;
--- a/src/core/front_desk.cc
+++ b/src/core/front_desk.cc
@@ -47,8 +47,8 @@
 void FrontDesk::AnswerFinal(uint64_t request, const std::string& id,
                             FinalState state) {
   Answer(request, 200,
-         wire::EncodeStatus(
-             id, state == FinalState::kDone ? "done" : "cancelled"));
+         wire::EncodeStatus(id,
+                            state == FinalState::kDone ? "done" : "cancelled"));
 }
 
 void FrontDesk::AnswerState(uint64_t request, int status,
@@ -75,9 +75,8 @@
     if (spec.cpus > type.cpus || spec.gpus > type.gpus ||
         spec.memory_gb > type.memory_gb)
       continue;
-    if (!spec.types.empty() &&
-        std::find(spec.types.begin(), spec.types.end(), type.name) ==
-            spec.types.end())
+    if (!spec.types.empty() && std::find(spec.types.begin(), spec.types.end(),
+                                         type.name) == spec.types.end())
       continue;
     if (!spec.zone.empty() && std::find(type.zones.begin(), type.zones.end(),
                                         spec.zone) == type.zones.end())
@@ -131,7 +130,8 @@
       });
 }
 
-void FrontDesk::LookUp(const std::string& id, std::function<void(Where)> found) {
+void FrontDesk::LookUp(const std::string& id,
+                       std::function<void(Where)> found) {
   context_->Get(StateLane::kUser, keys::Live(id),
                 [this, id, found](const StateResult& got) {
                   if (got.outcome == Outcome::kOk && !got.items.empty()) {
--- a/src/core/job_table.cc
+++ b/src/core/job_table.cc
@@ -67,9 +67,10 @@
 void JobTable::Rank(const std::vector<Team>& teams, double wall) {
   std::vector<Job*> by_arrival;
   for (auto& [id, job] : jobs_) by_arrival.push_back(job.get());
-  std::sort(by_arrival.begin(), by_arrival.end(), [](const Job* a, const Job* b) {
-    return a->record->submitted_wall_s < b->record->submitted_wall_s;
-  });
+  std::sort(by_arrival.begin(), by_arrival.end(),
+            [](const Job* a, const Job* b) {
+              return a->record->submitted_wall_s < b->record->submitted_wall_s;
+            });
   std::map<std::string, TeamUse> earlier;
   std::map<std::string, double> backlog_s;
   for (Job* job : by_arrival) {
@@ -84,11 +85,11 @@
     if (team != teams.end() && team->cpus_max > 0)
       backlog_s[spec.team] +=
           left * spec.cpus * Estimate(spec) / team->cpus_max;
-    job->guaranteed = team != teams.end() && use.cpus <= team->cpus &&
-                      use.gpus <= team->gpus;
-    job->late = spec.deadline_s &&
-                wall + Estimate(spec) >
-                    job->record->submitted_wall_s + *spec.deadline_s;
+    job->guaranteed =
+        team != teams.end() && use.cpus <= team->cpus && use.gpus <= team->gpus;
+    job->late =
+        spec.deadline_s && wall + Estimate(spec) >
+                               job->record->submitted_wall_s + *spec.deadline_s;
   }
   for (Job* job : by_arrival) job->team_backlog_s = backlog_s[job->spec().team];
   queue_stale_ = true;
@@ -104,7 +105,8 @@
   const double ratio =
       std::clamp(ran_s / std::max(kLeastEstimateS, spec.estimate_s),
                  1 / kMostEstimateRatio, kMostEstimateRatio);
-  double& known = estimate_ratio_.try_emplace(spec.job_class, 1.0).first->second;
+  double& known =
+      estimate_ratio_.try_emplace(spec.job_class, 1.0).first->second;
   known += (ratio - known) * kEstimateLearning;
 }
 
@@ -147,8 +149,8 @@
   std::string nibbles((end - begin + 3) / 4, '\0');
   for (const auto& [first, last] : tasks.ranges())
     for (uint32_t n = std::max(first, begin); n < std::min(last, end); ++n)
-      nibbles[(n - begin) / 4] =
-          static_cast<char>(nibbles[(n - begin) / 4] | (1 << ((n - begin) % 4)));
+      nibbles[(n - begin) / 4] = static_cast<char>(nibbles[(n - begin) / 4] |
+                                                   (1 << ((n - begin) % 4)));
   for (char& c : nibbles) c = "0123456789abcdef"[static_cast<int>(c)];
   return nibbles;
 }
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -20,9 +20,9 @@
   // tasks of it on machines that have not reported yet.
   bool inherited = false;
 
-  IntervalSet pending;    // neither placed nor done
-  IntervalSet done;       // completed, as reported
-  IntervalSet committed;  // completed, and written down
+  IntervalSet pending;                     // neither placed nor done
+  IntervalSet done;                        // completed, as reported
+  IntervalSet committed;                   // completed, and written down
   std::map<uint32_t, std::string> placed;  // task -> machine
   std::map<std::string, uint32_t> placed_in_zone;
 
@@ -69,8 +69,8 @@
 
   // The order in which work is looked at. First what lies within its team's
   // guarantee, since that need not wait for other teams; then by priority; then
-  // what can still meet its deadline before what can't; then the team that would
-  // take longest for what it has at its limit; then by arrival.
+  // what can still meet its deadline before what can't; then the team that
+  // would take longest for what it has at its limit; then by arrival.
   const std::vector<Job*>& queue();
   // Judges anew what lies within a guarantee and what is late.
   void Rank(const std::vector<Team>& teams, double wall);
@@ -83,8 +83,8 @@
   void Unplace(Job* job, uint32_t task, const std::string& zone);
   void MarkDone(Job* job, uint32_t task);
 
-  // Run time of a task: the owner's estimate, corrected by how far the estimates
-  // of the job's class have been off.
+  // Run time of a task: the owner's estimate, corrected by how far the
+  // estimates of the job's class have been off.
   double Estimate(const JobSpec& spec) const;
   void LearnRunTime(const JobSpec& spec, double ran_s);
 
--- a/src/core/leadership.cc
+++ b/src/core/leadership.cc
@@ -15,8 +15,9 @@
       node_(std::move(node)),
       // A worker's tasks outlive the last answer by its lease, and must be gone
       // within cancel_s of a cancellation that this leader did not see.
-      answer_reach_s_(std::max(
-          kLeaderLeaseS, cancel_s - lease_s * (1 + kClockDrift) - kReachMarginS)) {}
+      answer_reach_s_(
+          std::max(kLeaderLeaseS,
+                   cancel_s - lease_s * (1 + kClockDrift) - kReachMarginS)) {}
 
 Guard Leadership::guard() const { return Guard{keys::kLeader, version_}; }
 
@@ -27,8 +28,7 @@
 }
 
 bool Leadership::MayAnswer() const {
-  return leading_ &&
-         context_->now < directory_->synced_at() + answer_reach_s_;
+  return leading_ && context_->now < directory_->synced_at() + answer_reach_s_;
 }
 
 void Leadership::LearnTerm(uint64_t term) {
@@ -50,14 +50,16 @@
   if (directory_->leader_known())
     highest_term_ = std::max(highest_term_, directory_->leader().term);
   if (leading_) {
-    if (directory_->leader_known() && directory_->leader_version() != version_) {
+    if (directory_->leader_known() &&
+        directory_->leader_version() != version_) {
       StepDown("the leader key has changed");
       return;
     }
     Renew();
     return;
   }
-  if (campaigning_ || !directory_->loaded() || context_->now < retry_at_) return;
+  if (campaigning_ || !directory_->loaded() || context_->now < retry_at_)
+    return;
   if (directory_->leader_version() == 0)
     Campaign();
   else if (directory_->leader().node == node_)
@@ -112,7 +114,8 @@
           retry_at_ = context_->now + kElectionRetryS;
           return;
         }
-        // Past any term that a worker has shown, so that none drops our answers.
+        // Past any term that a worker has shown, so that none drops our
+        // answers.
         term = std::max(term, highest_term_) + 1;
         const LeaderRecord record{node_, term};
         context_->Transact(
@@ -145,19 +148,19 @@
   if (renewing_ || context_->now < next_renewal_) return;
   renewing_ = true;
   const double sent = context_->now;
-  context_->RenewLease(
-      lease_, [this, sent, lease = lease_](const StateResult& result) {
-        if (!leading_ || lease != lease_) return;
-        renewing_ = false;
-        if (result.outcome == Outcome::kOk) {
-          confirmed_at_ = sent;
-          next_renewal_ = sent + kRenewEveryS;
-        } else if (result.outcome == Outcome::kConflict) {
-          StepDown("the leader's lease has ended");
-        } else {
-          next_renewal_ = context_->now + 0.2;
-        }
-      });
+  context_->RenewLease(lease_,
+                       [this, sent, lease = lease_](const StateResult& result) {
+                         if (!leading_ || lease != lease_) return;
+                         renewing_ = false;
+                         if (result.outcome == Outcome::kOk) {
+                           confirmed_at_ = sent;
+                           next_renewal_ = sent + kRenewEveryS;
+                         } else if (result.outcome == Outcome::kConflict) {
+                           StepDown("the leader's lease has ended");
+                         } else {
+                           next_renewal_ = context_->now + 0.2;
+                         }
+                       });
 }
 
 }  // namespace sorrelwood
--- a/src/core/leadership.h
+++ b/src/core/leadership.h
@@ -25,8 +25,9 @@
   // Nobody else can lead yet: launches may leave. Guards against a leader that
   // was cut off and goes on placing.
   bool MayLaunch() const;
-  // The workers may be kept (their reports answered): guards against both losing
-  // all work in an outage and keeping work that a user was told is cancelled.
+  // The workers may be kept (their reports answered): guards against both
+  // losing all work in an outage and keeping work that a user was told is
+  // cancelled.
   bool MayAnswer() const;
   // How long after its last look at the jobs a leader answers reports (s).
   double answer_reach_s() const { return answer_reach_s_; }
--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -45,16 +45,16 @@
   bool spot = false;
   double rented_at = 0;
 
-  bool recorded = false;    // its record is committed: launches may go there
+  bool recorded = false;  // its record is committed: launches may go there
   bool recording = false;
-  bool heard = false;       // showed our token: its report is the whole truth
-  bool inherited = false;   // an earlier leader may have placed tasks on it
+  bool heard = false;      // showed our token: its report is the whole truth
+  bool inherited = false;  // an earlier leader may have placed tasks on it
   bool ever_reported = false;
-  bool listed = false;      // seen in the cloud's list by this leader
-  double missing_since = 0; // not in the lists since; 0: it is
-  bool base = false;        // part of the steady base, the owned room
-  bool surplus = false;     // dearer than what is needed: to be emptied
-  bool set_aside = false;   // faulty: drained and returned
+  bool listed = false;       // seen in the cloud's list by this leader
+  double missing_since = 0;  // not in the lists since; 0: it is
+  bool base = false;         // part of the steady base, the owned room
+  bool surplus = false;      // dearer than what is needed: to be emptied
+  bool set_aside = false;    // faulty: drained and returned
   bool releasing = false;
   double next_release = 0;
   uint64_t session = 0, sequence = 0;
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -120,12 +120,11 @@
     for (const auto& [name, machine] : machines_->all()) {
       if (!Usable(*machine)) continue;
       reserve.free += Slots(*machine, *usual, 0, 0);
-      total += Slots(*machine, *usual, -machine->cpus_used,
-                     -machine->memory_used);
+      total +=
+          Slots(*machine, *usual, -machine->cpus_used, -machine->memory_used);
     }
-    reserve.slots =
-        std::min(std::ceil(usual->tasks * kReserveJobs),
-                 total * kReserveMostShare);
+    reserve.slots = std::min(std::ceil(usual->tasks * kReserveJobs),
+                             total * kReserveMostShare);
     reserves_.push_back(std::move(reserve));
   }
 }
@@ -154,9 +153,9 @@
 void Placement::AssignCounted(Job* job, uint32_t task, Machine* machine,
                               uint64_t term) {
   for (Reserve& reserve : reserves_)
-    reserve.free -= Slots(*machine, reserve.usual, 0, 0) -
-                    Slots(*machine, reserve.usual, job->spec().cpus,
-                          job->spec().memory_gb);
+    reserve.free -=
+        Slots(*machine, reserve.usual, 0, 0) -
+        Slots(*machine, reserve.usual, job->spec().cpus, job->spec().memory_gb);
   Assign(job, task, machine, term);
 }
 
@@ -172,11 +171,16 @@
         !LeavesReserves(job, *machine))
       continue;
     // The image decides between equals. What is to start at once goes where its
-    // image is, whatever the fit, and among such machines to the next to report.
+    // image is, whatever the fit, and among such machines to the next to
+    // report.
     const bool fetch = !machine->HasImage(job.spec().image);
     const std::tuple<bool, bool, double, bool, double, bool> rank{
-        machine->surplus, at_once && fetch, at_once ? machine->last_heard : 0,
-        !machine->base,   machine->cpus_free(), fetch};
+        machine->surplus,
+        at_once && fetch,
+        at_once ? machine->last_heard : 0,
+        !machine->base,
+        machine->cpus_free(),
+        fetch};
     if (best && !(rank < best_rank)) continue;
     best = machine;
     best_rank = rank;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -59,8 +59,8 @@
   void MeasureReserves();
   static double Slots(const Machine& machine, const UsualJob& usual,
                       double less_cpus, double less_memory_gb);
-  // A task of `job` on the machine leaves the reserves whole, or is one of those
-  // that they are for.
+  // A task of `job` on the machine leaves the reserves whole, or is one of
+  // those that they are for.
   bool LeavesReserves(const Job& job, const Machine& machine) const;
   bool StartsAtOnce(const Job& job) const;
   void AssignCounted(Job* job, uint32_t task, Machine* machine, uint64_t term);
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -30,7 +30,8 @@
   fleet_.LearnCatalog(types);
 }
 
-// --- Taking over -----------------------------------------------------------------
+// --- Taking over
+// -----------------------------------------------------------------
 
 void Scheduler::Elected() {
   Deposed();
@@ -88,6 +89,7 @@
 
 void Scheduler::LoadMachines(const StateResult& result) {
   for (const KeyValue& item : result.items) {
+    writer_.LearnVersion(item.key, item.version);
     MachineRecord record;
     if (!wire::ParseMachineRecord(item.value, &record)) continue;
     Machine* machine = machines_.Add(record.name);
@@ -106,6 +108,7 @@
 
 void Scheduler::LoadProgress(const StateResult& result) {
   for (const KeyValue& item : result.items) {
+    writer_.LearnVersion(item.key, item.version);
     const std::string rest = keys::After(item.key, keys::kProgress);
     const size_t slash = rest.rfind('/');
     std::string bits;
@@ -122,6 +125,7 @@
 void Scheduler::Activate(const StateResult& rents) {
   std::vector<RentRecord> records;
   for (const KeyValue& item : rents.items) {
+    writer_.LearnVersion(item.key, item.version);
     RentRecord record;
     if (wire::ParseRentRecord(item.value, &record)) records.push_back(record);
   }
@@ -187,7 +191,8 @@
   jobs_.Remove(id);
 }
 
-// --- Hearing machines ----------------------------------------------------------------
+// --- Hearing machines
+// ----------------------------------------------------------------
 
 void Scheduler::Report(uint64_t request, const WorkerReport& report) {
   AnswerWorker answer;
@@ -207,9 +212,8 @@
   machine->zone = report.zone;
   machine->spot = report.spot;
   machine->last_answered = context_->now;
-  const bool newer =
-      std::make_pair(report.session, report.sequence) >
-      std::make_pair(machine->session, machine->sequence);
+  const bool newer = std::make_pair(report.session, report.sequence) >
+                     std::make_pair(machine->session, machine->sequence);
   if (newer) {
     Hear(machine, report, /*direct=*/false);
     placement_.Fill(machine, leadership_->term());
@@ -218,7 +222,8 @@
   context_->out.push_back(std::move(answer));
 }
 
-void Scheduler::Hear(Machine* machine, const WorkerReport& report, bool direct) {
+void Scheduler::Hear(Machine* machine, const WorkerReport& report,
+                     bool direct) {
   if (!machine->ever_reported) {
     machine->ever_reported = true;
     machine->rented_at = std::min(machine->rented_at, context_->now);
@@ -284,9 +289,10 @@
 void Scheduler::HearTask(Machine* machine, const TaskReport& task) {
   const TaskKey key{task.job, task.task};
   auto it = machine->tasks.find(key);
-  Placed* placed = it == machine->tasks.end() || it->second.attempt != task.attempt
-                       ? nullptr
-                       : &it->second;
+  Placed* placed =
+      it == machine->tasks.end() || it->second.attempt != task.attempt
+          ? nullptr
+          : &it->second;
   if (task.state == TaskState::kExited) {
     HearExit(machine, task, placed);
     return;
@@ -336,8 +342,7 @@
   placed.image = job->spec().image;
   placed.phase = PlacedPhase::kPresent;
   placed.state = task.state;
-  placed.running_since =
-      task.state == TaskState::kRunning ? context_->now : 0;
+  placed.running_since = task.state == TaskState::kRunning ? context_->now : 0;
   placed.speculative = !machine->base;
   placed.stop = job->done.Contains(task.task);
   jobs_.Place(job, task.task, machine->name, machine->zone);
@@ -403,8 +408,8 @@
   CountUnaccounted();
 }
 
-// The machine is gone, or no leader can have kept its tasks alive so long. A new
-// session alone is less: an earlier leader may have placed tasks in it.
+// The machine is gone, or no leader can have kept its tasks alive so long. A
+// new session alone is less: an earlier leader may have placed tasks in it.
 void Scheduler::DropEverything(Machine* machine) {
   machine->inherited = false;
   machine->finished.clear();
@@ -463,10 +468,10 @@
                       jobs_.Estimate(job->spec()) - ran < left * 0.5;
     if (ends) continue;
     placed.stop = true;
-    placed.stop_grace_s = job->spec().checkpoint_s > 0 &&
-                                  job->spec().save_s < left
-                              ? job->spec().save_s
-                              : 0;
+    placed.stop_grace_s =
+        job->spec().checkpoint_s > 0 && job->spec().save_s < left
+            ? job->spec().save_s
+            : 0;
   }
 }
 
@@ -537,7 +542,8 @@
               });
 }
 
-// --- Time ------------------------------------------------------------------------------
+// --- Time
+// ------------------------------------------------------------------------------
 
 void Scheduler::Tick() {
   if (!leadership_->leading()) return;
@@ -617,7 +623,8 @@
     }
     const double lost_at = m->inherited ? reach : m->last_answered + lease;
     if (context_->now > lost_at && (!m->tasks.empty() || m->inherited)) {
-      context_->Info(name + " has been silent for its lease: its tasks are gone");
+      context_->Info(name +
+                     " has been silent for its lease: its tasks are gone");
       DropEverything(m);
     }
     if (few && quiet > silence + kDirectTimeoutS + kPushEveryS)
@@ -636,21 +643,22 @@
   command.address = machine->address;
   command.token = leadership_->term();
   command.session = machine->session;
-  context_->Direct(
-      std::move(command), [this, name = machine->name,
-                           generation = generation_](const DirectResult& result) {
-        if (generation != generation_) return;
-        Machine* m = machines_.Find(name);
-        if (!m) return;
-        m->pushing = false;
-        if (!result.answered || result.report.machine != name) return;
-        if (std::make_pair(result.report.session, result.report.sequence) >
-            std::make_pair(m->session, m->sequence))
-          Hear(m, result.report, /*direct=*/true);
-      });
+  context_->Direct(std::move(command), [this, name = machine->name,
+                                        generation = generation_](
+                                           const DirectResult& result) {
+    if (generation != generation_) return;
+    Machine* m = machines_.Find(name);
+    if (!m) return;
+    m->pushing = false;
+    if (!result.answered || result.report.machine != name) return;
+    if (std::make_pair(result.report.session, result.report.sequence) >
+        std::make_pair(m->session, m->sequence))
+      Hear(m, result.report, /*direct=*/true);
+  });
 }
 
-// --- Writing down -----------------------------------------------------------------------
+// --- Writing down
+// -----------------------------------------------------------------------
 
 void Scheduler::WriteFinished() {
   std::vector<std::string> handled;
@@ -674,24 +682,24 @@
       IntervalSet now_done;
       bool news = false;
       for (const auto& [first, last] : job->done.ranges()) {
-        for (uint32_t n = std::max(first, begin); n < std::min(last, end); ++n) {
+        for (uint32_t n = std::max(first, begin); n < std::min(last, end);
+             ++n) {
           now_done.Add(n);
           news = news || !job->committed.Contains(n);
         }
       }
       if (!news) continue;
       progress_keys_[id].insert(chunk);
-      writer_.Put(keys::Progress(id, chunk),
-                  wire::EncodeProgress(
-                      EncodeBits(job->done, chunk, job->spec().tasks)),
-                  [this, id, now_done] {
-                    Job* written = jobs_.Find(id);
-                    if (!written) return;
-                    for (const auto& [first, last] : now_done.ranges())
-                      for (uint32_t n = first; n < last; ++n)
-                        if (!written->committed.Contains(n))
-                          written->committed.Add(n);
-                  });
+      writer_.Put(
+          keys::Progress(id, chunk),
+          wire::EncodeProgress(EncodeBits(job->done, chunk, job->spec().tasks)),
+          [this, id, now_done] {
+            Job* written = jobs_.Find(id);
+            if (!written) return;
+            for (const auto& [first, last] : now_done.ranges())
+              for (uint32_t n = first; n < last; ++n)
+                if (!written->committed.Contains(n)) written->committed.Add(n);
+          });
     }
     handled.push_back(id);
   }
@@ -749,8 +757,8 @@
   std::vector<JobCounts> counts;
   if (!active_) return counts;
   for (const auto& [id, job] : jobs_.all())
-    counts.push_back({id, job->done.size(),
-                      static_cast<uint32_t>(job->placed.size())});
+    counts.push_back(
+        {id, job->done.size(), static_cast<uint32_t>(job->placed.size())});
   return counts;
 }
 
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -74,13 +74,13 @@
 
 // The operators' own settings (operator.proto), checked.
 struct PolicySettings {
-  double speculation_s = 900;       // t
-  double wait_limit_s = 10800;      // b
-  double hold_s = 25;               // idle time before a rented machine goes
-  double drain_s = 30;       // backlog that may wait for running room
-  double dear_drain_s = 300; // the same before dear machines are rented
-  double base_share = 0.1;         // base at the start, of all guarantees
-  double base_memory_s = 120;       // how slowly the base follows the load
+  double speculation_s = 900;   // t
+  double wait_limit_s = 10800;  // b
+  double hold_s = 25;           // idle time before a rented machine goes
+  double drain_s = 30;          // backlog that may wait for running room
+  double dear_drain_s = 300;    // the same before dear machines are rented
+  double base_share = 0.1;      // base at the start, of all guarantees
+  double base_memory_s = 120;   // how slowly the base follows the load
   bool use_spot = true;
   double refit_s = 180;
   int tree_depth = 4;
@@ -167,7 +167,7 @@
   std::string node;
   uint64_t incarnation = 0;
   uint64_t sequence = 0;
-  uint64_t term = 0;        // highest term known
+  uint64_t term = 0;  // highest term known
   bool leader = false;
   std::vector<JobCounts> jobs;  // only from the leader
 };
--- a/src/core/wait_predictor.cc
+++ b/src/core/wait_predictor.cc
@@ -83,12 +83,10 @@
   }
   if (best_feature < 0) return self;
   const size_t f = static_cast<size_t>(best_feature);
-  const auto middle =
-      std::partition(samples.begin() + static_cast<long>(begin),
-                     samples.begin() + static_cast<long>(end),
-                     [&](const Sample* s) {
-                       return s->features[f] < best_threshold;
-                     });
+  const auto middle = std::partition(
+      samples.begin() + static_cast<long>(begin),
+      samples.begin() + static_cast<long>(end),
+      [&](const Sample* s) { return s->features[f] < best_threshold; });
   const size_t split = static_cast<size_t>(middle - samples.begin());
   const int left = Grow(tree, samples, begin, split, depth + 1);
   const int right = Grow(tree, samples, split, end, depth + 1);
@@ -125,8 +123,7 @@
                tn = static_cast<double>(true_long_),
                fp = static_cast<double>(false_short_),
                fn = static_cast<double>(false_long_);
-  const double scale =
-      std::sqrt((tp + fp) * (tp + fn) * (tn + fp) * (tn + fn));
+  const double scale = std::sqrt((tp + fp) * (tp + fn) * (tn + fp) * (tn + fn));
   return scale == 0 ? 0 : (tp * tn - fp * fn) / scale;
 }
 
--- a/src/core/waiting_policy.cc
+++ b/src/core/waiting_policy.cc
@@ -61,7 +61,8 @@
     }
     std::vector<uint32_t> overdue;
     for (const auto& [task, since] : job->waiting)
-      if (context_->now - since >= policy_.wait_limit_s) overdue.push_back(task);
+      if (context_->now - since >= policy_.wait_limit_s)
+        overdue.push_back(task);
     for (uint32_t task : overdue) {
       job->waiting.erase(task);
       if (!job->rented.Contains(task)) job->rented.Add(task);
@@ -77,10 +78,10 @@
       Job* job = jobs_->Find(key.first);
       if (!job) continue;
       // Until the first fit all jobs wait.
-      const auto wait =
-          predictor_.Predict(ToVector(Observe(job->spec().cpus)));
+      const auto wait = predictor_.Predict(ToVector(Observe(job->spec().cpus)));
       placed.stop = true;
-      placed.stop_grace_s = job->spec().checkpoint_s > 0 ? job->spec().save_s : 0;
+      placed.stop_grace_s =
+          job->spec().checkpoint_s > 0 ? job->spec().save_s : 0;
       placed.requeue_waiting = !wait || *wait < policy_.wait_limit_s;
       placed.requeue_rented = !placed.requeue_waiting;
       ++killed_;
--- a/src/core/waiting_policy.h
+++ b/src/core/waiting_policy.h
@@ -1,6 +1,6 @@
 // The waiting policy: a task that has run speculatively on a rented machine for
-// t is killed; it waits for owned room if its predicted wait is under b, else it
-// runs rented to the end. One that has waited b long is rented likewise.
+// t is killed; it waits for owned room if its predicted wait is under b, else
+// it runs rented to the end. One that has waited b long is rented likewise.
 #pragma once
 
 #include "core/context.h"
--- a/src/core/writer.cc
+++ b/src/core/writer.cc
@@ -29,19 +29,18 @@
                     StateCallback done) {
   tokens_ -= static_cast<double>(ops.size());
   guards.push_back(leadership_->guard());
-  context_->Transact(
-      StateLane::kLeader, std::move(guards), std::move(ops),
-      [this, done = std::move(done),
-       generation = generation_](const StateResult& result) {
-        if (generation != generation_) return;
-        if (result.outcome == Outcome::kConflict &&
-            std::find(result.failed.begin(), result.failed.end(),
-                      keys::kLeader) != result.failed.end()) {
-          leadership_->StepDown("a write found another leader");
-          return;
-        }
-        done(result);
-      });
+  context_->Transact(StateLane::kLeader, std::move(guards), std::move(ops),
+                     [this, done = std::move(done),
+                      generation = generation_](const StateResult& result) {
+                       if (generation != generation_) return;
+                       if (result.outcome == Outcome::kConflict &&
+                           std::find(result.failed.begin(), result.failed.end(),
+                                     keys::kLeader) != result.failed.end()) {
+                         leadership_->StepDown("a write found another leader");
+                         return;
+                       }
+                       done(result);
+                     });
 }
 
 void Writer::Tick() {
@@ -55,42 +54,80 @@
 
 void Writer::Send() {
   std::vector<StateOp> ops;
+  std::vector<Guard> guards;
   std::vector<Entry> sent;
-  const size_t most = std::min<size_t>(
-      static_cast<size_t>(settings_->state_txn_ops),
-      static_cast<size_t>(std::max(1.0, tokens_)));
+  const size_t most =
+      std::min<size_t>(static_cast<size_t>(settings_->state_txn_ops),
+                       static_cast<size_t>(std::max(1.0, tokens_)));
   size_t bytes = 0;
-  // Half of the protocol's 64 KiB a request, for quoting and guards.
-  constexpr size_t kMostBytes = 32 * 1024;
-  while (!order_.empty() && ops.size() < most && bytes < kMostBytes) {
-    auto it = waiting_.find(order_.front());
+  while (!order_.empty() && ops.size() < most && bytes < kMostWriteBytes) {
+    const std::string key = order_.front();
     order_.pop_front();
+    if (uncertain_.count(key)) {
+      Read(key);
+      continue;
+    }
+    auto it = waiting_.find(key);
     bytes += it->second.op.value.size();
+    auto version = versions_.find(key);
+    guards.push_back({key, version == versions_.end() ? 0 : version->second});
     ops.push_back(it->second.op);
     sent.push_back(std::move(it->second));
     waiting_.erase(it);
   }
+  if (ops.empty()) return;
   ++in_flight_;
-  Commit({}, std::move(ops),
+  Commit(std::move(guards), std::move(ops),
          [this, sent = std::move(sent)](const StateResult& result) {
            --in_flight_;
-           if (result.outcome == Outcome::kOk) {
-             for (const Entry& entry : sent)
-               if (entry.done) entry.done();
-             return;
-           }
-           next_send_ = context_->now + 0.3;
            for (const Entry& entry : sent) {
-             if (waiting_.count(entry.op.key)) continue;  // a newer one waits
-             waiting_[entry.op.key] = entry;
-             order_.push_back(entry.op.key);
+             if (result.outcome == Outcome::kOk) {
+               if (entry.op.remove)
+                 versions_.erase(entry.op.key);
+               else
+                 versions_[entry.op.key] = result.revision;
+               if (entry.done) entry.done();
+               continue;
+             }
+             // It may have been carried out, or a late copy of an earlier write
+             // was: what the key holds is read first.
+             if (result.outcome != Outcome::kRefused)
+               uncertain_.insert(entry.op.key);
+             Queue(entry.op.key, entry);
            }
+           if (result.outcome != Outcome::kOk)
+             next_send_ = context_->now + kWriteRetryS;
          });
 }
 
+// Puts back what could not be written, unless a newer write of the key waits.
+void Writer::Queue(const std::string& key, Entry entry) {
+  if (!waiting_.try_emplace(key, std::move(entry)).second) return;
+  order_.push_back(key);
+}
+
+void Writer::Read(const std::string& key) {
+  context_->Get(StateLane::kLeader, key,
+                [this, key, generation = generation_](const StateResult& got) {
+                  if (generation != generation_) return;
+                  if (got.outcome == Outcome::kOk && !got.items.empty()) {
+                    versions_[key] = got.items[0].version;
+                    uncertain_.erase(key);
+                  } else if (got.outcome == Outcome::kConflict) {
+                    versions_.erase(key);
+                    uncertain_.erase(key);
+                  } else {
+                    next_send_ = context_->now + kWriteRetryS;
+                  }
+                  order_.push_back(key);
+                });
+}
+
 void Writer::Clear() {
   waiting_.clear();
   order_.clear();
+  versions_.clear();
+  uncertain_.clear();
   in_flight_ = 0;
   ++generation_;
 }
--- a/src/core/writer.h
+++ b/src/core/writer.h
@@ -1,10 +1,12 @@
 // The leader's writes: batched, paced under the state service's rate, each
-// guarded by the leader key.
+// guarded by the leader key and by the version that the key itself had. The
+// second guards against a late copy of an older write undoing a newer one.
 #pragma once
 
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 #include "core/context.h"
@@ -23,6 +25,10 @@
   // that has not left yet. `done` runs once the key is written.
   void Put(const std::string& key, std::string value, Done done = nullptr);
   void Remove(const std::string& key);
+  // What a listing says of a key, before the first write to it.
+  void LearnVersion(const std::string& key, uint64_t version) {
+    versions_[key] = version;
+  }
   // A transaction of its own, tried once.
   void Commit(std::vector<Guard> guards, std::vector<StateOp> ops,
               StateCallback done);
@@ -38,12 +44,16 @@
     Done done;
   };
   void Send();
+  void Read(const std::string& key);
+  void Queue(const std::string& key, Entry entry);
 
   Context* context_;
   Leadership* leadership_;
   const ClusterSettings* settings_;
   std::map<std::string, Entry> waiting_;
   std::deque<std::string> order_;
+  std::map<std::string, uint64_t> versions_;  // absent: the key does not exist
+  std::set<std::string> uncertain_;  // to be read before the next write
   int in_flight_ = 0;
   uint64_t generation_ = 0;  // results of an earlier term are ignored
   double tokens_ = 0, refilled_at_ = 0, next_send_ = 0;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -37,8 +37,8 @@
     client_ = std::make_unique<httplib::Client>(endpoint.host, endpoint.port);
     // A mapped address keeps the library from looking the name up.
     client_->set_hostname_addr_map({{endpoint.host, endpoint.host}});
-    const auto timeout = std::chrono::milliseconds(
-        static_cast<int64_t>(timeout_s_ * 1000));
+    const auto timeout =
+        std::chrono::milliseconds(static_cast<int64_t>(timeout_s_ * 1000));
     client_->set_connection_timeout(timeout);
     client_->set_read_timeout(timeout);
     client_->set_write_timeout(timeout);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -12,8 +12,8 @@
 namespace sorrelwood {
 
 struct HttpAnswer {
-  int status = 0;          // 0: no answer
-  bool not_sent = false;   // with 0: certainly never reached the peer
+  int status = 0;         // 0: no answer
+  bool not_sent = false;  // with 0: certainly never reached the peer
   std::string body;
 };
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -137,8 +137,8 @@
     pthread_attr_setstacksize(&attributes, kConnectionStack);
     pthread_attr_setdetachstate(&attributes, PTHREAD_CREATE_DETACHED);
     pthread_t thread;
-    const bool started =
-        pthread_create(&thread, &attributes, &ConnectionThreads::Run, this) == 0;
+    const bool started = pthread_create(&thread, &attributes,
+                                        &ConnectionThreads::Run, this) == 0;
     pthread_attr_destroy(&attributes);
     if (started) {
       ++threads_;
@@ -196,16 +196,15 @@
       const int on = 1;
       setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     });
-    set_pre_routing_handler(
-        [](const httplib::Request& request, httplib::Response& response) {
-          if (request.method == "GET" || request.method == "POST")
-            return HandlerResponse::Unhandled;
-          response.status = 405;
-          response.set_header("Allow", "GET, POST");
-          response.set_content(ErrorBody("method not allowed"),
-                               "application/json");
-          return HandlerResponse::Handled;
-        });
+    set_pre_routing_handler([](const httplib::Request& request,
+                               httplib::Response& response) {
+      if (request.method == "GET" || request.method == "POST")
+        return HandlerResponse::Unhandled;
+      response.status = 405;
+      response.set_header("Allow", "GET, POST");
+      response.set_content(ErrorBody("method not allowed"), "application/json");
+      return HandlerResponse::Handled;
+    });
     const auto handle = [this](const httplib::Request& request,
                                httplib::Response& response) {
       Answer(request, response);
--- a/src/mesh/mesh.cc
+++ b/src/mesh/mesh.cc
@@ -146,7 +146,8 @@
   if (socket_ < 0) return false;
   const int on = 1;
   setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  if (bind(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0)
+  if (bind(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
+      0)
     return false;
   socklen_t length = sizeof(address);
   getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &length);
--- a/src/state/state_client.cc
+++ b/src/state/state_client.cc
@@ -54,8 +54,8 @@
   std::string after;
   uint64_t first_revision = 0;
   for (bool more = true; more;) {
-    std::string path = "/keys?under=" + list.prefix +
-                       "&most=" + std::to_string(kListPage);
+    std::string path =
+        "/keys?under=" + list.prefix + "&most=" + std::to_string(kListPage);
     if (!after.empty()) path += "&after=" + after;
     const HttpAnswer answer = http_.Get(path);
     result.outcome = Judge(answer);
@@ -107,8 +107,8 @@
 StateResult StateClient::RenewLease(const LeaseRenew& renew) {
   StateResult result;
   result.id = renew.id;
-  const HttpAnswer answer = http_.Post(
-      "/leases/" + std::to_string(renew.lease) + "/renew", "{}");
+  const HttpAnswer answer =
+      http_.Post("/leases/" + std::to_string(renew.lease) + "/renew", "{}");
   result.outcome = Judge(answer);
   return result;
 }
--- a/src/wire/json.cc
+++ b/src/wire/json.cc
@@ -254,7 +254,8 @@
 
 }  // namespace
 
-// --- Users ---------------------------------------------------------------------
+// --- Users
+// ---------------------------------------------------------------------
 
 bool ValidJobId(const std::string& id) {
   // "unique job id, always in this form": job- and digits.
@@ -297,7 +298,8 @@
   return Write({{"error", message}});
 }
 
-// --- Workers -------------------------------------------------------------------
+// --- Workers
+// -------------------------------------------------------------------
 
 bool ParseReport(const std::string& body, WorkerReport* report,
                  std::string* error) {
@@ -362,7 +364,8 @@
                 {"orders", WriteCommands(command.commands)}});
 }
 
-// --- Cloud ---------------------------------------------------------------------
+// --- Cloud
+// ---------------------------------------------------------------------
 
 std::string EncodeRent(const RentRecord& rent) {
   return Write({{"hire", rent.name},
@@ -392,8 +395,8 @@
     type.cache_gb = r.Number("cache_gb", 0, false);
     type.fetch_gb_per_s = r.Number("pull_gb_per_s", 0, false);
     type.price = r.Number("price", 0);
-    type.spot_price = r.Find("spot_price") ? r.Number("spot_price", 0)
-                                           : type.price;
+    type.spot_price =
+        r.Find("spot_price") ? r.Number("spot_price", 0) : type.price;
     type.boot_s = r.Number("ready_s", 0);
     type.zones = r.Texts("rooms");
     if (!r.ok()) return false;
@@ -437,7 +440,8 @@
   return true;
 }
 
-// --- State service ---------------------------------------------------------------
+// --- State service
+// ---------------------------------------------------------------
 
 std::string EncodeTransaction(const StateTransaction& transaction) {
   json guards = json::array();
@@ -530,7 +534,8 @@
   return true;
 }
 
-// --- Our own records ---------------------------------------------------------------
+// --- Our own records
+// ---------------------------------------------------------------
 
 std::string EncodeLiveJob(const LiveJob& job) {
   return Write({{"spec", WriteSpec(job.spec)}, {"at", job.submitted_wall_s}});
--- a/src/wire/json.h
+++ b/src/wire/json.h
@@ -11,29 +11,35 @@
 
 namespace sorrelwood::wire {
 
-// --- Users ---------------------------------------------------------------------
-bool ParseSubmission(const std::string& body, JobSpec* spec, std::string* error);
+// --- Users
+// ---------------------------------------------------------------------
+bool ParseSubmission(const std::string& body, JobSpec* spec,
+                     std::string* error);
 bool ValidJobId(const std::string& id);
 std::string EncodeStatus(const std::string& id, const std::string& status);
 std::string EncodeStatus(const std::string& id, const std::string& status,
                          uint32_t done, uint32_t running);
 std::string EncodeError(const std::string& message);
 
-// --- Workers -------------------------------------------------------------------
+// --- Workers
+// -------------------------------------------------------------------
 bool ParseReport(const std::string& body, WorkerReport* report,
                  std::string* error);
 std::string EncodeWorkerAnswer(const AnswerWorker& answer);
 std::string EncodeDirectCommand(const DirectCommand& command);
 
-// --- Cloud ---------------------------------------------------------------------
+// --- Cloud
+// ---------------------------------------------------------------------
 std::string EncodeRent(const RentRecord& rent);
 std::string EncodeRelease(const std::vector<std::string>& machines);
 bool ParseCatalog(const std::string& body, std::vector<MachineType>* types);
-bool ParseMachineNames(const std::string& body, std::vector<std::string>* names);
+bool ParseMachineNames(const std::string& body,
+                       std::vector<std::string>* names);
 bool ParseMachineList(const std::string& body, std::vector<ListedMachine>* list,
                       bool* more);
 
-// --- State service ---------------------------------------------------------------
+// --- State service
+// ---------------------------------------------------------------
 std::string EncodeTransaction(const StateTransaction& transaction);
 std::string EncodeLease(double ttl_s);
 // Each fills what the answer carries; false when it makes no sense.
@@ -43,7 +49,8 @@
 bool ParseLease(const std::string& body, StateResult* result);
 bool ParseEvents(const std::string& body, StateResult* result);
 
-// --- Our own records in the state service -------------------------------------------
+// --- Our own records in the state service
+// -------------------------------------------
 std::string EncodeLiveJob(const LiveJob& job);
 bool ParseLiveJob(const std::string& text, LiveJob* job);
 std::string EncodeFinal(FinalState state);
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -107,8 +107,9 @@
 TEST(StateClient, JudgesAnswers) {
   int status = 200;
   std::string body = R"({"epoch":7})";
-  LocalServer server(
-      [&](const HttpRequest&) { return HttpReply{status, body}; });
+  LocalServer server([&](const HttpRequest&) {
+    return HttpReply{status, body};
+  });
   StateClient client(server.address(), 2);
   const auto outcome = [&](int with, const std::string& text) {
     status = with;
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -97,7 +97,8 @@
     features.waiting = static_cast<double>(rng() % 50);
     features.cpus = static_cast<double>(rng() % 8);
     // Long waits exactly when the owned room is full and the queue is long.
-    return features.cpu_utilisation > 0.8 && features.waiting > 20 ? 120.0 : 5.0;
+    return features.cpu_utilisation > 0.8 && features.waiting > 20 ? 120.0
+                                                                   : 5.0;
   };
   WaitPredictor predictor(policy, 3), noise(policy, 3);
   EXPECT_FALSE(predictor.Predict(ToVector(features)));
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -1,8 +1,8 @@
 // The published protocol's JSON: what is read, and what is refused how.
-#include "wire/json.h"
-
 #include <gtest/gtest.h>
 
+#include "wire/json.h"
+
 namespace sorrelwood {
 namespace {
 
@@ -49,14 +49,22 @@
 
 TEST(Submission, IsRefusedWithTheFieldThatIsWrong) {
   const std::pair<const char*, const char*> bad[] = {
-      {"uid", "\"no-such-form\""}, {"uid", "7"},
-      {"parts", "0"},              {"parts", "100001"},
-      {"parts", "1.5"},            {"parts", "-1"},
-      {"cores", "\"8\""},          {"cores", "-2"},
-      {"urgency", "\"asap\""},     {"shape", "\"ring\""},
-      {"builds", "[1]"},           {"builds", "[]"},
-      {"one_zone", "1"},           {"memory_gb", "null"},
-      {"crew", "\"\""},            {"due_s", "\"soon\""}};
+      {"uid", "\"no-such-form\""},
+      {"uid", "7"},
+      {"parts", "0"},
+      {"parts", "100001"},
+      {"parts", "1.5"},
+      {"parts", "-1"},
+      {"cores", "\"8\""},
+      {"cores", "-2"},
+      {"urgency", "\"asap\""},
+      {"shape", "\"ring\""},
+      {"builds", "[1]"},
+      {"builds", "[]"},
+      {"one_zone", "1"},
+      {"memory_gb", "null"},
+      {"crew", "\"\""},
+      {"due_s", "\"soon\""}};
   for (const auto& [field, value] : bad) {
     JobSpec spec;
     std::string error;
@@ -67,8 +75,8 @@
 }
 
 TEST(Submission, MalformedBodiesAreRefused) {
-  for (const char* body : {"", "{", "[]", "7", "null", "{}", "\xff\xfe",
-                           "{\"uid\":\"job-1\"}"}) {
+  for (const char* body :
+       {"", "{", "[]", "7", "null", "{}", "\xff\xfe", "{\"uid\":\"job-1\"}"}) {
     JobSpec spec;
     std::string error;
     EXPECT_FALSE(wire::ParseSubmission(body, &spec, &error)) << body;
@@ -130,9 +138,8 @@
                      {CommandKind::kStop, "job-2", 1, 1, 10},
                      {CommandKind::kForget, "job-3", 0, 1, 0}};
   const std::string text = wire::EncodeWorkerAnswer(answer);
-  for (const char* part :
-       {"\"baton\":41", "\"launch\"", "\"job-1/4\"", "\"halt\"",
-        "\"leeway_s\":10", "\"clear\""})
+  for (const char* part : {"\"baton\":41", "\"launch\"", "\"job-1/4\"",
+                           "\"halt\"", "\"leeway_s\":10", "\"clear\""})
     EXPECT_NE(text.find(part), std::string::npos) << text;
   answer.status = 421;
   answer.redirect = "perch-2";
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -96,8 +96,9 @@
     if (Random() < 0.2) spec.zone = "b";
     if (Random() < 0.2) spec.types = {"large"};
     if (!spec.zone.empty()) spec.spread = false;
-    const double run_s = spec.job_class == "short" ? 5 + 10 * Random()
-                                                   : 20 + 20 * Random();
+    const double run_s =
+        options_.run_factor *
+        (spec.job_class == "short" ? 5 + 10 * Random() : 20 + 20 * Random());
     spec.estimate_s = run_s * (0.5 + Random());
     if (Random() < 0.3) {
       spec.checkpoint_s = 10;
@@ -122,10 +123,12 @@
           if (leader >= 0) CrashNode(leader, fault.restart_s);
           break;
         case F::kCrashOther:
-          CrashNode((std::max(leader, 0) + 1) % options_.nodes, fault.restart_s);
+          CrashNode((std::max(leader, 0) + 1) % options_.nodes,
+                    fault.restart_s);
           break;
         case F::kCrashAll:
-          for (int i = 0; i < options_.nodes; ++i) CrashNode(i, fault.restart_s);
+          for (int i = 0; i < options_.nodes; ++i)
+            CrashNode(i, fault.restart_s);
           break;
         case F::kStateOutage:
           state_down_until_ = now_ + fault.for_s;
@@ -201,7 +204,8 @@
   }
 }
 
-// --- Nodes -----------------------------------------------------------------------
+// --- Nodes
+// -----------------------------------------------------------------------
 
 void World::StartNode(int index) {
   Node& node = *nodes_[index];
@@ -236,7 +240,8 @@
 
 void World::TickNode(int index, int life) {
   if (nodes_[index]->life != life) return;
-  Feed(index, life, [](Controller& c, Controller::Time time) { return c.Tick(time); });
+  Feed(index, life,
+       [](Controller& c, Controller::Time time) { return c.Tick(time); });
   if (!nodes_[index]->up) return;
   const auto figures = nodes_[index]->controller->Measure();
   if (figures.leading && terms_seen_.insert(figures.term).second) ++takeovers_;
@@ -268,11 +273,11 @@
         AnswerWatchers();
         // As long as the real one waits, plus its slack.
         After(2.0, [this, index, life, watch] {
-          auto it = std::find_if(
-              watchers_.begin(), watchers_.end(), [&](const Watcher& w) {
-                return w.node == index && w.life == life &&
-                       w.watch.id == watch.id;
-              });
+          auto it = std::find_if(watchers_.begin(), watchers_.end(),
+                                 [&](const Watcher& w) {
+                                   return w.node == index && w.life == life &&
+                                          w.watch.id == watch.id;
+                                 });
           if (it == watchers_.end()) return;
           StateResult result = WatchAnswer(watch);
           if (StateDown(index)) result = StateResult();  // no answer
@@ -332,7 +337,8 @@
     } else if (auto* worker_answer = std::get_if<AnswerWorker>(&action)) {
       const AnswerWorker answer = *worker_answer;
       // Now and then an answer comes just before the worker gives up.
-      const double delay = Random() < options_.late ? 3.8 * Random() : Latency();
+      const double delay =
+          Random() < options_.late ? 3.8 * Random() : Latency();
       After(delay, [this, answer] {
         auto asked = reports_.find(answer.request);
         if (asked == reports_.end()) return;
@@ -348,8 +354,7 @@
         worker.in_flight = false;
         if (answer.status != 200) {
           int target = (report.node + 1) % options_.nodes;
-          if (!answer.redirect.empty())
-            target = answer.redirect.back() - '0';
+          if (!answer.redirect.empty()) target = answer.redirect.back() - '0';
           worker.target = target;
           worker.next_report = now_ + (answer.redirect.empty() ? 1.0 : 0.3);
           return;
@@ -364,7 +369,8 @@
     } else if (auto* note = std::get_if<MeshSend>(&action)) {
       for (int other = 0; other < options_.nodes; ++other) {
         if (other == index || Random() < options_.lose) continue;
-        if (now_ < zone_cut_until_ && nodes_[other]->zone != nodes_[index]->zone)
+        if (now_ < zone_cut_until_ &&
+            nodes_[other]->zone != nodes_[index]->zone)
           continue;
         const int other_life = nodes_[other]->life;
         After(Latency(), [this, other, other_life, note = note->note] {
@@ -377,7 +383,8 @@
   }
 }
 
-// --- State service -----------------------------------------------------------------
+// --- State service
+// -----------------------------------------------------------------
 
 bool World::StateDown(int node) const {
   return now_ < state_down_until_ || now_ < nodes_[node]->refused_until;
@@ -546,16 +553,18 @@
       continue;
     }
     watchers_.erase(watchers_.begin() + static_cast<long>(i));
-    After(Latency(), [this, watcher, result] {
-      Feed(watcher.node, watcher.life,
-           [result](Controller& c, Controller::Time time) {
-             return c.Deliver(time, result);
-           });
-    });
+    After(Latency() + options_.watch_delay_s * Random(),
+          [this, watcher, result] {
+            Feed(watcher.node, watcher.life,
+                 [result](Controller& c, Controller::Time time) {
+                   return c.Deliver(time, result);
+                 });
+          });
   }
 }
 
-// --- Cloud ---------------------------------------------------------------------------
+// --- Cloud
+// ---------------------------------------------------------------------------
 
 template <typename Request>
 void World::AskCloud(int node, const Request& request) {
@@ -605,8 +614,8 @@
     result.machines = known->second;
     return result;
   }
-  int& left = capacity_[rent.type + "|" + rent.zone + "|" +
-                        (rent.spot ? "1" : "0")];
+  int& left =
+      capacity_[rent.type + "|" + rent.zone + "|" + (rent.spot ? "1" : "0")];
   const int count = std::min(left, rent.count);
   if (count <= 0) {
     result.outcome = Outcome::kRefused;
@@ -676,7 +685,8 @@
   return result;
 }
 
-// --- Workers -----------------------------------------------------------------------------
+// --- Workers
+// -----------------------------------------------------------------------------
 
 void World::Boot(const std::string& name) {
   Worker& worker = *workers_[name];
@@ -757,7 +767,8 @@
   worker.request = request;
   const WorkerReport report = MakeReport(worker);
   const int node = worker.target;
-  reports_[request] = {worker.name, node, report.session, report.sequence, now_};
+  reports_[request] = {worker.name, node, report.session, report.sequence,
+                       now_};
   const auto deliver = [this, node, request, report] {
     if (!nodes_[node]->up) return;
     Feed(node, nodes_[node]->life, [&](Controller& c, Controller::Time time) {
@@ -808,13 +819,30 @@
         break;
       }
       case CommandKind::kForget:
-        if (same && it->second.state == TaskState::kExited)
+        if (same && it->second.state == TaskState::kExited) {
+          if (it->second.reason == ExitReason::kDone &&
+              !WrittenDown(command.job, command.task))
+            Break("cleared before it was written down: " + command.job + "/" +
+                  std::to_string(command.task));
           worker.tasks.erase(it);
+        }
         break;
     }
   }
 }
 
+bool World::WrittenDown(const std::string& job, uint32_t task) const {
+  if (keys_.count("sw/w/final/" + job)) return true;
+  auto progress = keys_.find("sw/progress/" + job + "/0");
+  std::string bits;
+  IntervalSet done;
+  if (progress == keys_.end() ||
+      !wire::ParseProgress(progress->second.value, &bits))
+    return false;
+  DecodeBits(bits, 0, 1000, &done);
+  return done.Contains(task);
+}
+
 void World::EndTask(Worker& worker, SimTask& task, ExitReason reason) {
   task.state = TaskState::kExited;
   task.reason = reason;
@@ -834,8 +862,7 @@
   task.attempt = command.attempt;
   worker.changed = true;
   auto other = worker.tasks.find(key);
-  if (other != worker.tasks.end() &&
-      other->second.state != TaskState::kExited)
+  if (other != worker.tasks.end() && other->second.state != TaskState::kExited)
     return;  // in_use: refused, and not kept here
   auto user = users_.find(command.job);
   if (user == users_.end() || command.task >= user->second->spec.tasks) {
@@ -874,9 +901,8 @@
       it->second.state != TaskState::kFetching)
     return;
   if (now_ < worker.hung_until) {
-    At(worker.hung_until, [this, machine, key, attempt] {
-      TaskHasImage(machine, key, attempt);
-    });
+    At(worker.hung_until,
+       [this, machine, key, attempt] { TaskHasImage(machine, key, attempt); });
     return;
   }
   // The lease is looked at before anything starts.
@@ -890,7 +916,9 @@
   const bool kept = user.done.Contains(task.task);
   const uint64_t timer = ++task.timer;
   const bool fails = worker.sick;
-  After(kept ? 0.1 : fails ? 0.5 : user.run_s,
+  After(kept    ? 0.1
+        : fails ? 0.5
+                : user.run_s,
         [this, machine, key, timer, fails] {
           Worker& w = *workers_[machine];
           const auto end = [this, &w, key, timer, fails] {
@@ -929,7 +957,8 @@
   return text;
 }
 
-// --- Users -------------------------------------------------------------------------------
+// --- Users
+// -------------------------------------------------------------------------------
 
 void World::SubmitJob(const std::string& id) {
   User& user = *users_[id];
@@ -993,9 +1022,9 @@
     ++jobs_accepted_;
     After(5 * Random(), [this, id] { PollJob(id); });
   }
-  const bool says_done = answer.body.find("\"done\"") != std::string::npos &&
-                         answer.body.find("\"status\":\"done\"") !=
-                             std::string::npos;
+  const bool says_done =
+      answer.body.find("\"done\"") != std::string::npos &&
+      answer.body.find("\"status\":\"done\"") != std::string::npos;
   const bool says_cancelled =
       answer.body.find("\"status\":\"cancelled\"") != std::string::npos;
   // Only what was asked after the final state had been told.
@@ -1019,7 +1048,8 @@
   }
 }
 
-// --- Rules ---------------------------------------------------------------------------------
+// --- Rules
+// ---------------------------------------------------------------------------------
 
 void World::Break(const std::string& what) {
   broken_.push_back(std::to_string(now_) + " s: " + what);
@@ -1047,9 +1077,8 @@
   }
   if ((worker.spot && !spec.spot) ||
       (!spec.zone.empty() && spec.zone != worker.zone) ||
-      (!spec.types.empty() &&
-       std::find(spec.types.begin(), spec.types.end(), worker.type) ==
-           spec.types.end()))
+      (!spec.types.empty() && std::find(spec.types.begin(), spec.types.end(),
+                                        worker.type) == spec.types.end()))
     Break("wrong_place: " + name + " on " + worker.name);
   if (spec.one_zone && !in_zone.empty() &&
       (in_zone.size() > 1 || in_zone.begin()->first != worker.zone))
--- a/tests/world.h
+++ b/tests/world.h
@@ -24,11 +24,13 @@
   double submit_until_s = 120;
   double cancel_share = 0.1;
   // Chances per message.
-  double lose = 0.0;       // request or answer is lost
-  double repeat = 0.0;     // the request is carried out a second time, later
-  double late = 0.0;       // carried out long after the sender gave up
+  double lose = 0.0;    // request or answer is lost
+  double repeat = 0.0;  // the request is carried out a second time, later
+  double late = 0.0;    // carried out long after the sender gave up
   double boot_fail = 0.0;
   double spot_per_hour = 0.0;
+  double watch_delay_s = 0.0;  // news of the state service come up to this late
+  double run_factor = 1.0;     // of the tasks' run times
   PolicySettings policy;
   // Times at which things go wrong.
   struct Fault {
@@ -37,16 +39,16 @@
       kCrashLeader,
       kCrashAll,
       kCrashOther,
-      kStateOutage,      // for all
+      kStateOutage,  // for all
       kStateRefusesLeader,
       kCloudOutage,
       kMachineDies,
-      kMachineCut,       // silent, goes on inside, packets are held
+      kMachineCut,  // silent, goes on inside, packets are held
       kMachineHangs,
-      kMachineSick,      // fails every task
+      kMachineSick,  // fails every task
       kSpotWave,
       kLeaderCutFromWorkers,
-      kZoneCut,          // nodes and workers of two zones can't reach each other
+      kZoneCut,  // nodes and workers of two zones can't reach each other
     } kind = kCrashLeader;
     double for_s = 0;
     double restart_s = 3;
@@ -144,6 +146,7 @@
                     uint64_t attempt);
   void EndTask(Worker& worker, SimTask& task, ExitReason reason);
   void LoseAll(Worker& worker);
+  bool WrittenDown(const std::string& job, uint32_t task) const;
   bool Reachable(int node, const Worker& worker) const;
 
   // Users.
--- a/tests/world_test.cc
+++ b/tests/world_test.cc
@@ -71,14 +71,16 @@
       Make("machine_sick", true, {{40, Fault::kMachineSick, 0, 0}}),
       Make("spot_wave", true, {{50, Fault::kSpotWave, 0, 0}}, 0.01),
       Make("cloud_outage", true,
-           {{40, Fault::kCloudOutage, 40, 0}, {45, Fault::kMachineDies, 0, 0},
+           {{40, Fault::kCloudOutage, 40, 0},
+            {45, Fault::kMachineDies, 0, 0},
             {46, Fault::kCrashLeader, 0, 3}}),
       Make("leader_cut_from_workers", false,
            {{50, Fault::kLeaderCutFromWorkers, 30, 0}}),
       Make("zone_cut", false,
            {{50, Fault::kZoneCut, 40, 0}, {60, Fault::kCrashLeader, 0, 3}}),
       Make("old_leader_keeps_its_zone", false,
-           {{50, Fault::kStateRefusesLeader, 60, 0}, {50, Fault::kZoneCut, 60, 0}},
+           {{50, Fault::kStateRefusesLeader, 60, 0},
+            {50, Fault::kZoneCut, 60, 0}},
            0.02),
       Make("slow_answers", false,
            {{40, Fault::kCrashLeader, 0, 0.3},
@@ -87,6 +89,11 @@
             {90, Fault::kCrashLeader, 0, 0.3}},
            0.1),
       Make("cancels", false, {{50, Fault::kStateOutage, 10, 0}}, 0.03),
+      Make("stale_news", false, {{50, Fault::kCrashLeader, 0, 3}}),
+      Make("old_leader_and_cancels", false,
+           {{50, Fault::kStateRefusesLeader, 120, 0},
+            {50, Fault::kZoneCut, 120, 0}}),
+      Make("old_answers", false, {}, 0.02),
       Make("everything", false,
            {{30, Fault::kMachineCut, 30, 0},
             {40, Fault::kCrashLeader, 0, 0.5},
@@ -99,8 +106,21 @@
             {130, Fault::kSpotWave, 0, 0}},
            0.02),
   };
-  for (Scenario& s : all)
-    if (std::string(s.name) == "cancels") s.options.cancel_share = 0.7;
+  for (Scenario& s : all) {
+    const std::string name = s.name;
+    WorldOptions& o = s.options;
+    if (name == "cancels" || name == "stale_news") o.cancel_share = 0.8;
+    if (name == "stale_news") o.watch_delay_s = 4;
+    if (name == "old_leader_and_cancels") {
+      o.cancel_share = 0.6;
+      o.run_factor = 4;
+      o.policy.speculation_s = 900;
+    }
+    if (name == "old_answers") o.late = 0.3;
+    if (name == "old_answers")
+      for (int i = 0; i < 20; ++i)
+        o.faults.push_back({30.0 + 4 * i, Fault::kCrashLeader, 0, 0.1});
+  }
   all[14].options.boot_fail = 0.2;
   all[13].options.spot_per_hour = 30;
   return all;
