--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -109,6 +109,8 @@
 inline constexpr double kLeastEstimateS = 1.0;
 inline constexpr double kMostEstimateRatio = 3.0;
 inline constexpr double kEstimateLearning = 0.02;
+// A service runs until it is cancelled: longer than any planning looks (s).
+inline constexpr double kServiceEstimateS = 1e5;
 // How often the queue's order is judged anew (s).
 inline constexpr double kRankEveryS = 0.5;
 
--- a/src/core/front_desk.cc
+++ b/src/core/front_desk.cc
@@ -69,8 +69,11 @@
       std::find_if(settings_->teams.begin(), settings_->teams.end(),
                    [&](const Team& t) { return t.name == spec.team; });
   if (team == settings_->teams.end()) return "unknown team " + spec.team;
-  if (spec.cpus > team->cpus_max || spec.gpus > team->gpus_max)
-    return "a task needs more than the limit of team " + spec.team;
+  // An array may run a few tasks at a time; the others run all of them.
+  const double together = spec.shape == Shape::kArray ? 1 : spec.tasks;
+  if (spec.cpus * together > team->cpus_max ||
+      spec.gpus * together > team->gpus_max)
+    return "the job needs more than the limit of team " + spec.team;
   for (const MachineType& type : types_) {
     if (spec.cpus > type.cpus || spec.gpus > type.gpus ||
         spec.memory_gb > type.memory_gb)
--- a/src/core/job_table.cc
+++ b/src/core/job_table.cc
@@ -96,6 +96,7 @@
 }
 
 double JobTable::Estimate(const JobSpec& spec) const {
+  if (spec.shape == Shape::kService) return kServiceEstimateS;
   auto ratio = estimate_ratio_.find(spec.job_class);
   return std::max(kLeastEstimateS, spec.estimate_s) *
          (ratio == estimate_ratio_.end() ? 1.0 : ratio->second);
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -10,10 +10,14 @@
 
 enum class Priority { kLow = 0, kStandard = 1, kHigh = 2, kProduction = 3 };
 
+// An array's tasks run to completion; a service's until the job is cancelled.
+enum class Shape { kArray, kService };
+
 struct JobSpec {
   std::string id;
   std::string job_class;
   std::string team;
+  Shape shape = Shape::kArray;
   Priority priority = Priority::kStandard;
   uint32_t tasks = 0;
   double cpus = 0, gpus = 0, memory_gb = 0;
--- a/src/wire/json.cc
+++ b/src/wire/json.cc
@@ -109,6 +109,23 @@
   return "standard";
 }
 
+std::string ShapeName(Shape shape) {
+  switch (shape) {
+    case Shape::kArray: return "sweep";
+    case Shape::kService: return "daemon";
+  }
+  return "sweep";
+}
+
+bool ParseShape(const std::string& name, Shape* shape) {
+  for (Shape s : {Shape::kArray, Shape::kService}) {
+    if (ShapeName(s) != name) continue;
+    *shape = s;
+    return true;
+  }
+  return false;
+}
+
 bool ParsePriority(const std::string& name, Priority* priority) {
   for (Priority p : {Priority::kLow, Priority::kStandard, Priority::kHigh,
                      Priority::kProduction}) {
@@ -126,7 +143,8 @@
   spec->job_class = r.Text("roster");
   spec->team = r.Text("crew");
   const std::string shape = r.Text("shape");
-  if (r.ok() && shape != "sweep") r.Bad<int>("shape", "must be \"sweep\"");
+  if (r.ok() && !ParseShape(shape, &spec->shape))
+    r.Bad<int>("shape", "must be sweep or daemon");
   const std::string priority = r.Text("urgency");
   if (r.ok() && !ParsePriority(priority, &spec->priority))
     r.Bad<int>("urgency", "must be prod, high, standard or low");
@@ -160,7 +178,7 @@
   json out = {{"uid", spec.id},
               {"roster", spec.job_class},
               {"crew", spec.team},
-              {"shape", "sweep"},
+              {"shape", ShapeName(spec.shape)},
               {"urgency", PriorityName(spec.priority)},
               {"parts", spec.tasks},
               {"cores", spec.cpus},
