--- a/src/core/front_desk.cc
+++ b/src/core/front_desk.cc
@@ -166,6 +166,16 @@
                 });
 }
 
+// The job is no longer live: how it ended is read and told.
+void FrontDesk::TellFinal(uint64_t request, const std::string& id) {
+  ReadFinal(id, [this, request, id](Where where) {
+    if (where == Where::kFinal)
+      AnswerState(request, 200, id);
+    else
+      Unavailable(request, "the state service does not answer");
+  });
+}
+
 void FrontDesk::Poll(uint64_t request, const std::string& id) {
   if (!Admit(request, kPollAnswerS)) return;
   if (!wire::ValidJobId(id)) {
@@ -232,12 +242,7 @@
                !failed.count(keys::Live(id)))) {
             AnswerState(request, 200, id);
           } else if (result.outcome == Outcome::kConflict) {
-            ReadFinal(id, [this, request = request, id = id](Where where) {
-              if (where == Where::kFinal)
-                AnswerState(request, 200, id);
-              else
-                Unavailable(request, "the state service does not answer");
-            });
+            TellFinal(request, id);
           } else {
             Unavailable(request, "the state service does not answer");
           }
@@ -283,12 +288,7 @@
           directory_->LearnFinal(id, FinalState::kCancelled);
           AnswerState(request, 200, id);
         } else if (result.outcome == Outcome::kConflict) {
-          ReadFinal(id, [this, request, id](Where where) {
-            if (where == Where::kFinal)
-              AnswerState(request, 200, id);
-            else
-              Unavailable(request, "the state service does not answer");
-          });
+          TellFinal(request, id);
         } else {
           Unavailable(request, "the cancellation could not be recorded");
         }
--- a/src/core/front_desk.h
+++ b/src/core/front_desk.h
@@ -45,6 +45,7 @@
   enum class Where { kLive, kFinal, kNowhere, kNoAnswer };
   void LookUp(const std::string& id, std::function<void(Where)> found);
   void ReadFinal(const std::string& id, std::function<void(Where)> found);
+  void TellFinal(uint64_t request, const std::string& id);
   void CancelLive(uint64_t request, const std::string& id);
   void Check();
 
