--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -140,7 +140,7 @@
 inline constexpr double kDearSlack = 2.0;
 // Room that is kept beyond the work there is before dearer machines are
 // emptied.
-inline constexpr double kSurplusMargin = 1.15;
+inline constexpr double kSurplusMargin = 1.0;
 // Emptying a dear machine: the longest time to save (s) that is worth it, the
 // free room elsewhere as a multiple of what moves, the pause between two (s).
 inline constexpr double kMoveSaveS = 5.0;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -80,7 +80,7 @@
 struct PolicySettings {
   double speculation_s = 900;   // t
   double wait_limit_s = 10800;  // b
-  double hold_s = 25;           // idle time before a rented machine goes
+  double hold_s = 10;           // idle time before a rented machine goes
   double drain_s = 30;          // backlog that may wait for running room
   double dear_drain_s = 300;    // the same before dear machines are rented
   double base_share = 0.1;      // base at the start, of all guarantees
