--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -111,6 +111,8 @@
 inline constexpr double kEstimateLearning = 0.02;
 // A service runs until it is cancelled: longer than any planning looks (s).
 inline constexpr double kServiceEstimateS = 1e5;
+// A job that has missed its aim lets others go first until it is this old (s).
+inline constexpr double kLateYieldS = 900.0;
 // How often the queue's order is judged anew (s).
 inline constexpr double kRankEveryS = 0.5;
 
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -358,24 +358,6 @@
   }
 }
 
-double Fleet::Slack(const Job& job) const {
-  const JobSpec& spec = job.spec();
-  const double estimate = jobs_->Estimate(spec);
-  const double age = context_->wall - job.record->submitted_wall_s;
-  double slack = policy_.dear_drain_s;
-  if (spec.deadline_s)
-    slack = std::min(slack, *spec.deadline_s - age - estimate);
-  for (const Objective& objective : settings_->objectives) {
-    if (objective.job_class != spec.job_class || objective.within_s <= 0)
-      continue;
-    if (objective.kind == "wait")
-      slack = std::min(slack, objective.within_s - age);
-    else if (objective.kind == "finished")
-      slack = std::min(slack, objective.within_s - age - estimate);
-  }
-  return slack;
-}
-
 void Fleet::PlanDear(std::map<std::string, int>* wanted) {
   const std::vector<Offer> offers = Offers();
   double cores = 0, work = 0, boot_s = 0;
@@ -395,7 +377,8 @@
     const JobSpec& spec = job->spec();
     // An aim that is past, or that comes before a machine could be up, is no
     // reason to pay more: the job has as long as one without an aim.
-    double slack = Slack(*job);
+    double slack = jobs_->Slack(*job, settings_->objectives, context_->wall,
+                                policy_.dear_drain_s);
     if (slack < boot_s) slack = policy_.dear_drain_s;
     const double count = job->pending.size();
     const double each = std::min(jobs_->Estimate(spec), slack) * spec.cpus;
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -81,8 +81,6 @@
                std::map<std::string, int>* wanted);
   // Rents dear machines for jobs that would miss their aim on the cheap ones.
   void PlanDear(std::map<std::string, int>* wanted);
-  // How long the job's last task may wait before the job's aim is missed.
-  double Slack(const Job& job) const;
   // The offer that does `count` tasks of the job for the least.
   const Offer* Cheapest(const Job& job, double count, bool dear,
                         const std::vector<Offer>& offers) const;
--- a/src/core/job_table.cc
+++ b/src/core/job_table.cc
@@ -64,7 +64,8 @@
   return queue_;
 }
 
-void JobTable::Rank(const std::vector<Team>& teams, double wall) {
+void JobTable::Rank(const ClusterSettings& settings, double wall) {
+  const std::vector<Team>& teams = settings.teams;
   std::vector<Job*> by_arrival;
   for (auto& [id, job] : jobs_) by_arrival.push_back(job.get());
   std::sort(by_arrival.begin(), by_arrival.end(),
@@ -87,14 +88,33 @@
           left * spec.cpus * Estimate(spec) / team->cpus_max;
     job->guaranteed =
         team != teams.end() && use.cpus <= team->cpus && use.gpus <= team->gpus;
-    job->late =
-        spec.deadline_s && wall + Estimate(spec) >
-                               job->record->submitted_wall_s + *spec.deadline_s;
+    // Not for ever: under lasting overload it would never run.
+    job->late = Slack(*job, settings.objectives, wall, 1) < 0 &&
+                wall - job->record->submitted_wall_s < kLateYieldS;
   }
   for (Job* job : by_arrival) job->team_backlog_s = backlog_s[job->spec().team];
   queue_stale_ = true;
 }
 
+double JobTable::Slack(const Job& job, const std::vector<Objective>& objectives,
+                       double wall, double most) const {
+  const JobSpec& spec = job.spec();
+  const double estimate = Estimate(spec);
+  const double age = wall - job.record->submitted_wall_s;
+  double slack = most;
+  if (spec.deadline_s)
+    slack = std::min(slack, *spec.deadline_s - age - estimate);
+  for (const Objective& objective : objectives) {
+    if (objective.job_class != spec.job_class || objective.within_s <= 0)
+      continue;
+    if (objective.kind == "wait")
+      slack = std::min(slack, objective.within_s - age);
+    else if (objective.kind == "finished")
+      slack = std::min(slack, objective.within_s - age - estimate);
+  }
+  return slack;
+}
+
 double JobTable::Estimate(const JobSpec& spec) const {
   if (spec.shape == Shape::kService) return kServiceEstimateS;
   auto ratio = estimate_ratio_.find(spec.job_class);
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -73,7 +73,11 @@
   // would take longest for what it has at its limit; then by arrival.
   const std::vector<Job*>& queue();
   // Judges anew what lies within a guarantee and what is late.
-  void Rank(const std::vector<Team>& teams, double wall);
+  void Rank(const ClusterSettings& settings, double wall);
+  // How long the job's last task may wait before the job's deadline or an
+  // objective of its class is missed; `most` where there is neither.
+  double Slack(const Job& job, const std::vector<Objective>& objectives,
+               double wall, double most) const;
   std::map<std::string, std::unique_ptr<Job>>& all() { return jobs_; }
 
   // A task leaves or enters the pending set; the team's use follows.
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -153,7 +153,7 @@
     context_->Debug("new job " + id + " of " + job->spec().job_class + ", " +
                     std::to_string(job->spec().tasks) + " tasks, image " +
                     job->spec().image + ", team " + job->spec().team);
-  jobs_.Rank(settings_->teams, context_->wall);
+  jobs_.Rank(*settings_, context_->wall);
   auto progress = progress_.find(id);
   if (progress == progress_.end()) return;
   for (const auto& [first, last] : progress->second.ranges()) {
@@ -570,7 +570,7 @@
   }
   if (context_->now >= next_rank_) {
     next_rank_ = context_->now + kRankEveryS;
-    jobs_.Rank(settings_->teams, context_->wall);
+    jobs_.Rank(*settings_, context_->wall);
   }
   if (context_->debug && context_->now >= next_debug_) {
     next_debug_ = context_->now + kDebugEveryS;
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -53,19 +53,21 @@
 }
 
 TEST(Queue, GuaranteedWorkFirstThenPriorityThenArrival) {
-  const std::vector<Team> teams = {{"a", 20, 100, 0, 0}, {"b", 0, 100, 0, 0}};
+  ClusterSettings settings;
+  settings.teams = {{"a", 20, 100, 0, 0}, {"b", 0, 100, 0, 0}};
   JobTable jobs;
   jobs.Add(NewJob("over", "a", Priority::kStandard, 10, 2), 1, false, 0);
   jobs.Add(NewJob("within", "a", Priority::kLow, 10, 1), 2, false, 0);
   jobs.Add(NewJob("high", "b", Priority::kHigh, 1, 4), 3, false, 0);
-  jobs.Rank(teams, 5);
+  jobs.Rank(settings, 5);
   std::vector<std::string> order;
   for (const Job* job : jobs.queue()) order.push_back(job->id());
   EXPECT_EQ(order, (std::vector<std::string>{"within", "high", "over"}));
 }
 
 TEST(Queue, WhatCanStillMeetItsDeadlineGoesFirst) {
-  const std::vector<Team> teams = {{"a", 0, 100, 0, 0}};
+  ClusterSettings settings;
+  settings.teams = {{"a", 0, 100, 0, 0}};
   JobTable jobs;
   auto late = NewJob("late", "a", Priority::kLow, 1, 0);
   late->spec.deadline_s = 50;
@@ -73,12 +75,31 @@
   fresh->spec.deadline_s = 50;
   jobs.Add(late, 1, false, 0);
   jobs.Add(fresh, 2, false, 0);
-  jobs.Rank(teams, 45);
+  jobs.Rank(settings, 45);
   EXPECT_EQ(jobs.queue()[0]->id(), "fresh");
-  jobs.Rank(teams, 30);
+  jobs.Rank(settings, 30);
   EXPECT_EQ(jobs.queue()[0]->id(), "late");
 }
 
+TEST(Queue, AnObjectiveThatIsMissedCountsLikeADeadline) {
+  ClusterSettings settings;
+  settings.teams = {{"a", 0, 100, 0, 0}};
+  settings.objectives = {{"wait", "slow", 30}};
+  JobTable jobs;
+  auto old = NewJob("old", "a", Priority::kLow, 1, 0);
+  auto fresh = NewJob("fresh", "a", Priority::kLow, 1, 20);
+  old->spec.job_class = fresh->spec.job_class = "slow";
+  jobs.Add(old, 1, false, 0);
+  jobs.Add(fresh, 2, false, 0);
+  jobs.Rank(settings, 25);
+  EXPECT_EQ(jobs.queue()[0]->id(), "old");
+  jobs.Rank(settings, 35);
+  EXPECT_EQ(jobs.queue()[0]->id(), "fresh");
+  // It does not wait for ever.
+  jobs.Rank(settings, 950);
+  EXPECT_EQ(jobs.queue()[0]->id(), "old");
+}
+
 TEST(Estimates, FollowWhatIsSeen) {
   JobTable jobs;
   const auto job = NewJob("j", "a", Priority::kLow, 1, 0);
