--- a/src/core/job_table.cc
+++ b/src/core/job_table.cc
@@ -1,6 +1,7 @@
 #include "core/job_table.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "core/constants.h"
 
@@ -55,6 +56,7 @@
       if (a->late != b->late) return b->late;
       if (a->team_backlog_s != b->team_backlog_s)
         return a->team_backlog_s > b->team_backlog_s;
+      if (a->size_class != b->size_class) return a->size_class < b->size_class;
       if (a->record->submitted_wall_s != b->record->submitted_wall_s)
         return a->record->submitted_wall_s < b->record->submitted_wall_s;
       return a->id() < b->id();
@@ -83,6 +85,8 @@
     const double left = spec.tasks - job->done.size();
     use.cpus += left * spec.cpus;
     use.gpus += left * spec.gpus;
+    job->size_class =
+        static_cast<int>(std::log2(1 + left * spec.cpus * Estimate(spec)));
     if (team != teams.end() && team->cpus_max > 0)
       backlog_s[spec.team] +=
           left * spec.cpus * Estimate(spec) / team->cpus_max;
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -39,6 +39,7 @@
   // Where it stands in the queue, see JobTable::Rank.
   bool guaranteed = false;
   bool late = false;
+  int size_class = 0;         // of the work left, by powers of two
   double team_backlog_s = 0;  // the team's work left, at its limit
 
   double queued_at = 0;  // steady time at which this leader saw it
@@ -70,7 +71,8 @@
   // The order in which work is looked at. First what lies within its team's
   // guarantee, since that need not wait for other teams; then by priority; then
   // what can still meet its deadline before what can't; then the team that
-  // would take longest for what it has at its limit; then by arrival.
+  // would take longest for what it has at its limit; then the smaller job; then
+  // by arrival.
   const std::vector<Job*>& queue();
   // Judges anew what lies within a guarantee and what is late.
   void Rank(const ClusterSettings& settings, double wall);
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -65,6 +65,19 @@
   EXPECT_EQ(order, (std::vector<std::string>{"within", "high", "over"}));
 }
 
+TEST(Queue, SmallerJobsFirstWithinATeam) {
+  ClusterSettings settings;
+  settings.teams = {{"a", 0, 100, 0, 0}};
+  JobTable jobs;
+  jobs.Add(NewJob("large", "a", Priority::kLow, 40, 0), 1, false, 0);
+  jobs.Add(NewJob("small", "a", Priority::kLow, 4, 1), 2, false, 0);
+  jobs.Add(NewJob("as_small", "a", Priority::kLow, 5, 2), 3, false, 0);
+  jobs.Rank(settings, 5);
+  std::vector<std::string> order;
+  for (const Job* job : jobs.queue()) order.push_back(job->id());
+  EXPECT_EQ(order, (std::vector<std::string>{"small", "as_small", "large"}));
+}
+
 TEST(Queue, WhatCanStillMeetItsDeadlineGoesFirst) {
   ClusterSettings settings;
   settings.teams = {{"a", 0, 100, 0, 0}};
