--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -21,6 +21,13 @@
 inline constexpr double kLeaseMarginS = 0.6;
 // Pause between two tries for the leader key.
 inline constexpr double kElectionRetryS = 0.4;
+// A leader that hears less than this share of its machines, of at least so many,
+// leaves the lead to others, who have this long (s) to take it; and how often at
+// most (s).
+inline constexpr double kAbdicateHeardShare = 0.35;
+inline constexpr int kAbdicateMachines = 3;
+inline constexpr double kAbdicatePauseS = 8.0;
+inline constexpr double kAbdicateEveryS = 90.0;
 // Margin by which report answers stop before the reach that a successor counts
 // on ends; covers a slow thread and the network.
 inline constexpr double kReachMarginS = 2.0;
--- a/src/core/leadership.cc
+++ b/src/core/leadership.cc
@@ -46,6 +46,20 @@
   if (on_deposed) on_deposed();
 }
 
+void Leadership::Abdicate(const std::string& why) {
+  if (!leading_ || context_->now < next_abdication_) return;
+  next_abdication_ = context_->now + kAbdicateEveryS;
+  const Guard key = guard();
+  StepDown(why);
+  retry_at_ = context_->now + kAbdicatePauseS;
+  context_->Transact(StateLane::kRenewal, {key}, {{true, keys::kLeader, "", 0}},
+                     [this](const StateResult& result) {
+                       if (result.outcome == Outcome::kOk)
+                         directory_->LearnLeader(0, LeaderRecord(),
+                                                 result.revision);
+                     });
+}
+
 void Leadership::Tick() {
   if (directory_->leader_known())
     highest_term_ = std::max(highest_term_, directory_->leader().term);
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -606,6 +606,13 @@
     ++expected;
     if (context_->now - machine->last_heard > silence) ++silent;
   }
+  // Guards against a leader that is cut off from the workers alone: their
+  // leases would run out while another controller could answer them.
+  if (expected >= kAbdicateMachines && context_->now - elected_at_ > silence &&
+      expected - silent < expected * kAbdicateHeardShare) {
+    leadership_->Abdicate("most machines are silent");
+    if (!leadership_->leading()) return;
+  }
   const bool few = silent <= std::max(1.0, expected * kEarlyReleaseShare);
   for (auto& [name, machine] : machines_.all()) {
     Machine* m = machine.get();
