Connections that wait for a request hold no thread

Cause: a thread a connection. One thread now polls the idle connections and a pool of at most 320 reads and answers, with shares for workers, users and others; a request is read within 5 s in all. A worker that missed reports makes room for one that comes. Sockets bound the connections, memory the threads.

--- a/src/app/app.cc
+++ b/src/app/app.cc
@@ -63,8 +63,11 @@
   limits.workers = static_cast<size_t>(total * kWorkerConnections);
   limits.users = static_cast<size_t>(total * kUserConnections);
   limits.worker_idle_s = settings_.lease_s;
-  spdlog::info("up to {} connections: {} workers, {} users", limits.total,
-               limits.workers, limits.users);
+  limits.worker_stale_s = kSilentReports * settings_.report_s;
+  limits.threads = MostThreads(settings_);
+  spdlog::info(
+      "up to {} connections: {} workers, {} users; {} requests at once",
+      limits.total, limits.workers, limits.users, limits.threads);
   server_ = std::make_unique<HttpServer>(
       endpoint, limits,
       [](const std::string& path) {
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -189,19 +189,26 @@
   s->sockets = static_cast<int>(
       limits.Number("sockets", kOwnSockets + kLeastConnections, 1e6));
   s->memory_mib = limits.Number("ram_mb", 0, kMostCount, &none);
-  if (s->memory_mib > 0 && MostConnections(*s) < kLeastConnections)
-    limits.Wrong("ram_mb",
-                 "is too little: " + std::to_string(MostConnections(*s)) +
-                     " connections would fit, " +
-                     std::to_string(kLeastConnections) + " are the least");
+  if (MostThreads(*s) < kLeastThreads)
+    limits.Wrong("ram_mb", "is too little: " + std::to_string(MostThreads(*s)) +
+                               " requests at once would fit, " +
+                               std::to_string(kLeastThreads) +
+                               " are the least");
   return error->empty();
 }
 
 size_t MostConnections(const ClusterSettings& settings) {
-  double most = settings.sockets - kOwnSockets;
-  if (settings.memory_mib > 0)
-    most = std::min(
-        most, (settings.memory_mib - kCoreMemoryMib) * 1024 / kConnectionKib);
+  return static_cast<size_t>(std::max(0, settings.sockets - kOwnSockets));
+}
+
+size_t MostThreads(const ClusterSettings& settings) {
+  double most = kMostThreads;
+  if (settings.memory_mib > 0) {
+    const double kib =
+        (settings.memory_mib - kCoreMemoryMib) * 1024 -
+        static_cast<double>(MostConnections(settings)) * kConnectionKib;
+    most = std::min(most, kib / kRequestKib);
+  }
   return static_cast<size_t>(std::max(0.0, most));
 }
 
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -13,8 +13,10 @@
                          std::string* error);
 bool ParseClusterSettings(const std::string& text, ClusterSettings* settings,
                           std::string* error);
-// How many connections the sockets and the memory of the machine carry.
+// How many connections the sockets of the machine carry, and how many requests
+// at once, each with a thread, its memory.
 size_t MostConnections(const ClusterSettings& settings);
+size_t MostThreads(const ClusterSettings& settings);
 bool LoadOperatorSettings(const std::string& path, PolicySettings* settings,
                           std::string* error);
 bool ParseOperatorSettings(const std::string& text, PolicySettings* settings,
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -109,8 +109,10 @@
 // --------------------------------------------------------------------- How
 // often queued work is matched with machines (s).
 inline constexpr double kPlaceEveryS = 0.1;
-// Jobs from the front of the queue that one pass looks at.
+// Jobs from the front of the queue that one pass looks at, and how many of them
+// each team may have at least.
 inline constexpr size_t kFrontJobs = 64;
+inline constexpr size_t kFrontJobsOfTeam = 12;
 // Above this many machines with room a pass looks at a sample of them, with
 // those in it that hold the images of so many first jobs.
 inline constexpr size_t kSampleMachines = 400;
@@ -204,17 +206,28 @@
 // Sockets kept for what this process itself opens: lanes, siblings, their
 // notes.
 inline constexpr int kOwnSockets = 100;
-// Memory (MiB) that all but the connections may take: 12 to 15 were seen on a
-// leader of 300 machines and 250 jobs. And what one connection takes (KiB), its
-// thread's stack and the buffers: 40 were seen.
+// Memory (MiB) that all but the server may take: 12 to 15 were seen on a
+// leader of 300 machines and 250 jobs. What a request in hand takes (KiB), its
+// thread's stack and the buffers: 40 were seen. And an open connection (KiB).
 inline constexpr double kCoreMemoryMib = 22;
-inline constexpr double kConnectionKib = 56;
+inline constexpr double kRequestKib = 56;
+inline constexpr double kConnectionKib = 2;
+// Threads that read and answer requests: more than may wait for the state
+// service at once, and far fewer than the 2,000 that a process may have.
+inline constexpr double kMostThreads = 320;
+// The shares of workers and users of these threads. Workers are answered at
+// once; a tenth is left to probes and to those who have not asked yet.
+inline constexpr double kWorkerThreadShare = 0.15;
+inline constexpr double kUserThreadShare = 0.75;
+// Connections with news that one look at them tells of.
+inline constexpr int kPollEvents = 64;
 // The shares of workers and users of all connections. A tenth is left to probes
 // and to those who have not asked yet.
 inline constexpr double kWorkerConnections = 0.6;
 inline constexpr double kUserConnections = 0.3;
-// Below so many connections a controller is of no use.
+// Below so many connections, or threads, a controller is of no use.
 inline constexpr size_t kLeastConnections = 40;
+inline constexpr size_t kLeastThreads = 16;
 inline constexpr double kIdleConnectionS = 75.0;
 inline constexpr double kReadTimeoutS = 5.0;
 inline constexpr int kListenBacklog = 256;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -6,18 +6,22 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <pthread.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <chrono>
 #include <cmath>
 #include <condition_variable>
 #include <cstring>
 #include <deque>
+#include <list>
 #include <mutex>
-#include <set>
+#include <unordered_map>
 
 #include "core/constants.h"
 
@@ -27,22 +31,58 @@
 bool WaitFor(int socket, short events, double timeout_s) {
   pollfd fd{socket, events, 0};
   for (;;) {
-    const int ready = poll(&fd, 1, static_cast<int>(timeout_s * 1000));
+    const int ready =
+        poll(&fd, 1, static_cast<int>(std::max(0.0, timeout_s) * 1000));
     if (ready < 0 && errno == EINTR) continue;
     return ready > 0;
   }
 }
 
+using Clock = std::chrono::steady_clock;
+
+double Now() {
+  return std::chrono::duration<double>(Clock::now().time_since_epoch()).count();
+}
+
+// One connection. Between two requests it is a few bytes in a list; a thread
+// serves it only while a request is in hand.
+struct Connection {
+  int socket = -1;
+  bool counted = false;  // its first request has told who it is
+  PeerKind kind = PeerKind::kOther;
+  bool close = false;
+  bool waiting = false;  // for its next request, in the list of its kind
+  double idle_since = 0;
+  std::list<Connection*>::iterator place;
+};
+
 // Reads through a small buffer, since the library reads headers byte by byte.
+// All of a request is read, and all of its answer written, before a time: a
+// peer that sends a byte now and then holds a thread no longer than that.
 class BufferedStream : public httplib::Stream {
  public:
-  explicit BufferedStream(int socket) : socket_(socket) {}
+  explicit BufferedStream(int socket) : socket_(socket) { Restart(); }
+
+  void Restart() { until_ = Now() + kReadTimeoutS; }
+  // False when the peer has closed it or there is nothing to read after all.
+  bool Begin() {
+    if (begin_ < end_) return true;
+    const ssize_t n = recv(socket_, buffer_, sizeof(buffer_), MSG_DONTWAIT);
+    if (n <= 0) {
+      spurious_ = n < 0 && (errno == EAGAIN || errno == EINTR);
+      return false;
+    }
+    begin_ = 0;
+    end_ = static_cast<size_t>(n);
+    return true;
+  }
+  bool spurious() const { return spurious_; }
 
   bool is_readable() const override {
-    return begin_ < end_ || WaitFor(socket_, POLLIN, kReadTimeoutS);
+    return begin_ < end_ || WaitFor(socket_, POLLIN, until_ - Now());
   }
   bool is_writable() const override {
-    return WaitFor(socket_, POLLOUT, kReadTimeoutS);
+    return WaitFor(socket_, POLLOUT, until_ - Now());
   }
   ssize_t read(char* out, size_t size) override {
     if (begin_ == end_) {
@@ -63,14 +103,18 @@
     return static_cast<ssize_t>(size);
   }
   bool Flush() {
+    until_ = Now() + kReadTimeoutS;
     size_t sent = 0;
     while (sent < pending_.size()) {
+      const ssize_t n =
+          send(socket_, pending_.data() + sent, pending_.size() - sent,
+               MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (n > 0) {
+        sent += static_cast<size_t>(n);
+        continue;
+      }
+      if (n == 0 || (errno != EAGAIN && errno != EINTR)) return false;
       if (!is_writable()) return false;
-      const ssize_t n = send(socket_, pending_.data() + sent,
-                             pending_.size() - sent, MSG_NOSIGNAL);
-      if (n < 0 && errno == EINTR) continue;
-      if (n <= 0) return false;
-      sent += static_cast<size_t>(n);
     }
     pending_.clear();
     return true;
@@ -88,102 +132,31 @@
 
  private:
   ssize_t Receive(char* out, size_t size) {
-    if (!WaitFor(socket_, POLLIN, kReadTimeoutS)) return -1;
     for (;;) {
-      const ssize_t n = recv(socket_, out, size, 0);
-      if (n < 0 && errno == EINTR) continue;
-      return n;
+      const ssize_t n = recv(socket_, out, size, MSG_DONTWAIT);
+      if (n >= 0) return n;
+      if (errno != EAGAIN && errno != EINTR) return -1;
+      if (!WaitFor(socket_, POLLIN, until_ - Now())) return -1;
     }
   }
 
   int socket_;
+  double until_ = 0;
+  bool spurious_ = false;
   char buffer_[2048];
   size_t begin_ = 0, end_ = 0;
   std::string pending_;
 };
 
-thread_local bool refuse_connection = false;
-
-// The connection that this thread serves.
-struct Peer {
-  bool counted = false, close = false;
-  PeerKind kind = PeerKind::kOther;
-};
-thread_local Peer* peer = nullptr;
+// The connection whose request this thread has in hand.
+thread_local Connection* peer = nullptr;
 
-// Threads with small stacks, started when needed, never more than `most`. A
-// connection beyond that is closed at once: the load balancer goes elsewhere.
-class ConnectionThreads : public httplib::TaskQueue {
+// The library's accepting thread calls `work` itself: all it does is to hand
+// the socket over.
+class AcceptingThread : public httplib::TaskQueue {
  public:
-  explicit ConnectionThreads(size_t most) : most_(most) {}
-  ~ConnectionThreads() override { shutdown(); }
-
-  void enqueue(std::function<void()> work) override {
-    std::unique_lock lock(mutex_);
-    if (idle_ <= queue_.size() && !(threads_ < most_ && StartThread())) {
-      lock.unlock();
-      refuse_connection = true;
-      work();
-      refuse_connection = false;
-      return;
-    }
-    queue_.push_back(std::move(work));
-    ready_.notify_one();
-  }
-
-  void shutdown() override {
-    std::unique_lock lock(mutex_);
-    stopping_ = true;
-    ready_.notify_all();
-    ended_.wait(lock, [this] { return threads_ == 0; });
-  }
-
- private:
-  bool StartThread() {
-    pthread_attr_t attributes;
-    pthread_attr_init(&attributes);
-    pthread_attr_setstacksize(&attributes, kConnectionStack);
-    pthread_attr_setdetachstate(&attributes, PTHREAD_CREATE_DETACHED);
-    pthread_t thread;
-    const bool started = pthread_create(&thread, &attributes,
-                                        &ConnectionThreads::Run, this) == 0;
-    pthread_attr_destroy(&attributes);
-    if (started) {
-      ++threads_;
-      ++idle_;
-    }
-    return started;
-  }
-
-  static void* Run(void* self) {
-    static_cast<ConnectionThreads*>(self)->Loop();
-    return nullptr;
-  }
-
-  void Loop() {
-    std::unique_lock lock(mutex_);
-    for (;;) {
-      ready_.wait(lock, [this] { return stopping_ || !queue_.empty(); });
-      if (stopping_) break;
-      auto work = std::move(queue_.front());
-      queue_.pop_front();
-      --idle_;
-      lock.unlock();
-      work();
-      work = nullptr;
-      lock.lock();
-      ++idle_;
-    }
-    --threads_;
-    if (threads_ == 0) ended_.notify_all();
-  }
-
-  const size_t most_;
-  std::mutex mutex_;
-  std::condition_variable ready_, ended_;
-  std::deque<std::function<void()>> queue_;
-  size_t threads_ = 0, idle_ = 0;
-  bool stopping_ = false;
+  void enqueue(std::function<void()> work) override { work(); }
+  void shutdown() override {}
 };
 
 std::string ErrorBody(const char* message) {
@@ -200,9 +173,7 @@
         limits_(limits),
         classify_(std::move(classify)),
         handler_(std::move(handler)) {
-    new_task_queue = [total = limits.total] {
-      return new ConnectionThreads(total);
-    };
+    new_task_queue = [] { return new AcceptingThread; };
     set_payload_max_length(kMaxBody);
     set_socket_options([](socket_t socket) {
       const int on = 1;
@@ -238,6 +209,8 @@
   }
 
   bool Bind() {
+    poll_ = epoll_create1(EPOLL_CLOEXEC);
+    if (poll_ < 0) return false;
     port_ = endpoint_.port;
     if (port_ == 0) {
       port_ = bind_to_any_port(endpoint_.host, AI_NUMERICHOST);
@@ -251,10 +224,32 @@
 
   int port() const { return port_; }
 
+  void Serve() {
+    if (!StartThread([](void* self) -> void* {
+          static_cast<Impl*>(self)->WatchIdle();
+          return nullptr;
+        }))
+      return;
+    listen_after_bind();
+    std::unique_lock lock(mutex_);
+    ended_.wait(lock, [this] { return threads_ == 0; });
+    for (auto& [socket, connection] : open_) ::close(socket);
+    open_.clear();
+    ::close(poll_);
+    if (wake_ >= 0) ::close(wake_);
+  }
+
   void CloseAll() {
     stop();
     std::lock_guard lock(mutex_);
-    for (int socket : open_) ::shutdown(socket, SHUT_RDWR);
+    stopping_ = true;
+    ready_.notify_all();
+    for (auto& [socket, connection] : open_) ::shutdown(socket, SHUT_RDWR);
+    // Readable from the start: it wakes the thread that polls.
+    wake_ = eventfd(1, EFD_CLOEXEC);
+    epoll_event event{};
+    event.events = EPOLLIN;
+    epoll_ctl(poll_, EPOLL_CTL_ADD, wake_, &event);
   }
 
  private:
@@ -281,60 +276,237 @@
     response.set_content(std::move(out.body), out.content_type.c_str());
   }
 
+  // --- Connections
+  // A socket that has just been accepted.
   bool process_and_close_socket(socket_t socket) override {
-    if (!refuse_connection) ServeConnection(socket);
-    ::shutdown(socket, SHUT_RDWR);
-    ::close(socket);
+    const int on = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    std::lock_guard lock(mutex_);
+    if (stopping_ || open_.size() >= limits_.total) {
+      // Full: closed at once, so that the load balancer goes elsewhere.
+      ::close(socket);
+      return true;
+    }
+    Connection& connection = open_[socket];
+    connection.socket = socket;
+    Idle(&connection, EPOLL_CTL_ADD);
     return true;
   }
 
-  // The first request tells who it is.
-  bool Admit(PeerKind kind) {
-    const size_t most = kind == PeerKind::kWorker ? limits_.workers
-                        : kind == PeerKind::kUser ? limits_.users
-                                                  : limits_.total;
-    std::lock_guard lock(mutex_);
-    size_t& count = counts_[static_cast<size_t>(kind)];
-    if (count >= most) return false;
-    ++count;
-    peer->counted = true;
-    peer->kind = kind;
-    return true;
+  static size_t Index(PeerKind kind) { return static_cast<size_t>(kind); }
+
+  double IdleS(const Connection& connection) const {
+    if (!connection.counted) return kReadTimeoutS;
+    return connection.kind == PeerKind::kWorker ? limits_.worker_idle_s
+                                                : kIdleConnectionS;
   }
 
-  double IdleS() const {
-    if (!peer->counted) return kReadTimeoutS;
-    return peer->kind == PeerKind::kWorker ? limits_.worker_idle_s
-                                           : kIdleConnectionS;
+  // The list it waits in; within one all have the same time to do so.
+  std::list<Connection*>& Waiting(const Connection& connection) {
+    return connection.counted ? idle_[Index(connection.kind)] : unknown_;
   }
 
-  void ServeConnection(int socket) {
-    Peer self;
-    peer = &self;
-    const int on = 1;
-    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    {
+  void Idle(Connection* connection, int operation) {
+    std::list<Connection*>& list = Waiting(*connection);
+    connection->idle_since = Now();
+    connection->waiting = true;
+    connection->place = list.insert(list.end(), connection);
+    epoll_event event{};
+    event.events = EPOLLIN | EPOLLONESHOT;
+    event.data.fd = connection->socket;
+    if (epoll_ctl(poll_, operation, connection->socket, &event) != 0) {
+      list.erase(connection->place);
+      Close(connection);
+    }
+  }
+
+  // It waits in no list, or has been taken out of it.
+  void Close(Connection* connection) {
+    if (connection->counted) --counts_[Index(connection->kind)];
+    const int socket = connection->socket;
+    open_.erase(socket);
+    ::shutdown(socket, SHUT_RDWR);
+    ::close(socket);
+  }
+
+  void CloseIdle() {
+    const double now = Now();
+    for (std::list<Connection*>* list :
+         {&unknown_, &idle_[0], &idle_[1], &idle_[2]}) {
+      while (!list->empty() &&
+             now - list->front()->idle_since > IdleS(*list->front())) {
+        Connection* connection = list->front();
+        list->pop_front();
+        Close(connection);
+      }
+    }
+  }
+
+  // One thread polls all connections that wait for their next request, and
+  // hands those that have one to the threads that read and answer.
+  void WatchIdle() {
+    std::array<epoll_event, kPollEvents> events;
+    double next_close = Now() + kReadTimeoutS;
+    for (;;) {
+      const int count = epoll_wait(poll_, events.data(), kPollEvents,
+                                   static_cast<int>(kReadTimeoutS * 1000));
       std::lock_guard lock(mutex_);
-      open_.insert(socket);
+      if (stopping_) break;
+      for (int i = 0; i < count; ++i) {
+        // The event may be of an earlier connection with this number: a new one
+        // is then looked at in vain, and one that is in hand is left alone.
+        auto it = open_.find(events[static_cast<size_t>(i)].data.fd);
+        if (it == open_.end() || !it->second.waiting) continue;
+        Connection* connection = &it->second;
+        connection->waiting = false;
+        Waiting(*connection).erase(connection->place);
+        queue_[Index(connection->kind)].push_back(connection);
+        Wake();
+      }
+      if (Now() >= next_close) {
+        next_close = Now() + 1;
+        CloseIdle();
+      }
+    }
+    EndThread();
+  }
+
+  // --- Threads
+  // For one more request in hand. Where no thread can be had, those that there
+  // are get to it; where there are none, nobody does, and they are closed.
+  void Wake() {
+    size_t queued = 0;
+    for (const auto& queue : queue_) queued += queue.size();
+    if (queued <= idle_threads_) {
+      ready_.notify_one();
+      return;
+    }
+    if (threads_ <= limits_.threads && StartThread([](void* self) -> void* {
+          static_cast<Impl*>(self)->AnswerRequests();
+          return nullptr;
+        }))
+      return;
+    if (threads_ > 1) return;
+    for (auto& queue : queue_) {
+      for (Connection* connection : queue) Close(connection);
+      queue.clear();
     }
-    BufferedStream stream(socket);
+  }
+
+  // The mutex is held, but for the first thread.
+  bool StartThread(void* (*run)(void*)) {
+    pthread_attr_t attributes;
+    pthread_attr_init(&attributes);
+    pthread_attr_setstacksize(&attributes, kConnectionStack);
+    pthread_attr_setdetachstate(&attributes, PTHREAD_CREATE_DETACHED);
+    pthread_t thread;
+    const bool started = pthread_create(&thread, &attributes, run, this) == 0;
+    pthread_attr_destroy(&attributes);
+    if (started) ++threads_;
+    return started;
+  }
+  void EndThread() {
+    if (--threads_ == 0) ended_.notify_all();
+  }
+
+  // How many requests of a kind may be in hand: each has its share of the
+  // threads, so that users who wait for the state service, or peers that send
+  // half a request, leave threads to the workers.
+  size_t Share(PeerKind kind) const {
+    const double share = kind == PeerKind::kWorker ? kWorkerThreadShare
+                         : kind == PeerKind::kUser
+                             ? kUserThreadShare
+                             : 1 - kWorkerThreadShare - kUserThreadShare;
+    return static_cast<size_t>(std::max(
+        1L, std::lround(static_cast<double>(limits_.threads) * share)));
+  }
+
+  Connection* Next() {
+    for (const PeerKind kind :
+         {PeerKind::kOther, PeerKind::kWorker, PeerKind::kUser}) {
+      auto& queue = queue_[Index(kind)];
+      if (queue.empty() || busy_[Index(kind)] >= Share(kind)) continue;
+      Connection* connection = queue.front();
+      queue.pop_front();
+      ++busy_[Index(kind)];
+      return connection;
+    }
+    return nullptr;
+  }
+
+  void AnswerRequests() {
+    std::unique_lock lock(mutex_);
+    while (!stopping_) {
+      Connection* connection = Next();
+      if (!connection) {
+        ++idle_threads_;
+        ready_.wait(lock);
+        --idle_threads_;
+        continue;
+      }
+      lock.unlock();
+      const bool keep = ServeConnection(connection);
+      lock.lock();
+      --busy_[Index(connection->kind)];
+      if (keep && !stopping_)
+        Idle(connection, EPOLL_CTL_MOD);
+      else
+        Close(connection);
+    }
+    EndThread();
+  }
+
+  // Answers what has been asked on the connection; whether it stays open.
+  bool ServeConnection(Connection* connection) {
+    BufferedStream stream(connection->socket);
+    if (!stream.Begin()) return stream.spurious();
+    peer = connection;
     bool closed = false;
-    while (!closed && is_running()) {
-      if (!stream.has_buffered() && !WaitFor(socket, POLLIN, IdleS())) break;
-      char probe;
-      if (!stream.has_buffered() && recv(socket, &probe, 1, MSG_PEEK) <= 0)
-        break;  // the peer closed it
+    do {
+      stream.Restart();
       const bool answered =
           process_request(stream, false, closed, [](httplib::Request& request) {
             if (request.target.empty()) request.target = request.path;
             request.path = "/";
           });
-      if (!stream.Flush() || !answered || self.close) break;
-    }
+      if (!stream.Flush() || !answered || connection->close) closed = true;
+    } while (!closed && stream.has_buffered());
     peer = nullptr;
+    return !closed;
+  }
+
+  // The first request tells who it is. Where its kind has no connection or no
+  // thread left it is told so.
+  bool Admit(PeerKind kind) {
+    const size_t most = kind == PeerKind::kWorker ? limits_.workers
+                        : kind == PeerKind::kUser ? limits_.users
+                                                  : limits_.total;
     std::lock_guard lock(mutex_);
-    open_.erase(socket);
-    if (self.counted) --counts_[static_cast<size_t>(self.kind)];
+    size_t& count = counts_[Index(kind)];
+    if (count >= most && kind == PeerKind::kWorker) CloseStaleWorker();
+    if (count >= most ||
+        (kind != PeerKind::kOther && busy_[Index(kind)] >= Share(kind)))
+      return false;
+    ++count;
+    --busy_[Index(peer->kind)];
+    ++busy_[Index(kind)];
+    peer->counted = true;
+    peer->kind = kind;
+    // Its place among those who have not asked yet is free for the next.
+    if (!queue_[Index(PeerKind::kOther)].empty()) Wake();
+    return true;
+  }
+
+  // The worker that has been quiet for longest makes room, if it has missed
+  // reports: guards against connections to a zone that was cut off shutting out
+  // its workers when they come back.
+  void CloseStaleWorker() {
+    auto& workers = idle_[Index(PeerKind::kWorker)];
+    if (workers.empty()) return;
+    Connection* connection = workers.front();
+    if (Now() - connection->idle_since < limits_.worker_stale_s) return;
+    workers.pop_front();
+    Close(connection);
   }
 
   Endpoint endpoint_;
@@ -342,9 +514,20 @@
   PeerClassifier classify_;
   HttpHandler handler_;
   int port_ = 0;
+  int poll_ = -1, wake_ = -1;
+
   std::mutex mutex_;
-  std::set<int> open_;
-  std::array<size_t, 3> counts_{};  // by PeerKind
+  std::condition_variable ready_, ended_;
+  bool stopping_ = false;
+  std::unordered_map<int, Connection> open_;  // by socket
+  // Waiting for a request, the longest first: those who have not asked yet,
+  // and the others by PeerKind.
+  std::list<Connection*> unknown_;
+  std::array<std::list<Connection*>, 3> idle_;
+  std::array<std::deque<Connection*>, 3> queue_;  // with a request, by PeerKind
+  std::array<size_t, 3> busy_{};    // requests in hand, by PeerKind
+  std::array<size_t, 3> counts_{};  // connections, by PeerKind
+  size_t threads_ = 0, idle_threads_ = 0;
 };
 
 HttpServer::HttpServer(const Endpoint& endpoint, const ConnectionLimits& limits,
@@ -353,7 +536,7 @@
                                    std::move(handler))) {}
 HttpServer::~HttpServer() = default;
 bool HttpServer::Bind() { return impl_->Bind(); }
-void HttpServer::Serve() { impl_->listen_after_bind(); }
+void HttpServer::Serve() { impl_->Serve(); }
 void HttpServer::Stop() { impl_->CloseAll(); }
 int HttpServer::port() const { return impl_->port(); }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -1,5 +1,7 @@
-// cpp-httplib's server with its own connection loop: one small-stack thread a
-// connection, blocked in a single poll while the connection is idle.
+// cpp-httplib's server with its own connection loop. One thread polls all idle
+// connections; a bounded number of threads with small stacks reads and answers
+// requests, one at a time each. So sockets bound the connections, and threads
+// are bounded by the requests in hand.
 #pragma once
 
 #include <functional>
@@ -26,7 +28,9 @@
 enum class PeerKind { kWorker, kUser, kOther };
 struct ConnectionLimits {
   size_t total = 0, workers = 0, users = 0;
-  double worker_idle_s = 0;  // a worker that is quiet for so long is gone
+  double worker_idle_s = 0;   // a worker that is quiet for so long is gone
+  double worker_stale_s = 0;  // and for so long makes room for another
+  size_t threads = 0;         // that read and answer requests
 };
 using PeerClassifier = std::function<PeerKind(const std::string& path)>;
 
