A lease counts from when our token was shown; held-up work keeps its machines

Test ALeaseCountsFromWhenOurTokenWasShown, red without the guard.

Records that nothing may start before are written before progress; list pages count as cloud calls; 16 direct lanes; a sibling for whom no thread can be had is closed.

--- a/src/cloud/cloud_client.cc
+++ b/src/cloud/cloud_client.cc
@@ -1,5 +1,6 @@
 #include "cloud/cloud_client.h"
 
+#include "core/constants.h"
 #include "wire/json.h"
 
 namespace sorrelwood {
@@ -56,7 +57,7 @@
   result.id = list.id;
   std::string after;
   for (bool more = true; more;) {
-    std::string path = "/hosts?most=500";
+    std::string path = "/hosts?most=" + std::to_string(kMachinePage);
     if (!after.empty()) path += "&after=" + after;
     const HttpAnswer answer = http_.Get(path);
     result.outcome = Judge(answer);
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -56,8 +56,9 @@
 inline constexpr size_t kMostWriteBytes = 32 * 1024;
 // Tasks whose completion one key holds: 16,384 bits are 4 KiB as hexadecimal.
 inline constexpr uint32_t kTasksPerProgressKey = 16384;
-// Items that one listing asks for.
-inline constexpr int kListPage = 200;
+// Items that one listing asks for: the most that the service gives, since a
+// takeover reads the records of the whole fleet.
+inline constexpr int kListPage = 1000;
 
 // A node is shut out when the state service has refused it while it served most
 // others at least so long after the refusals began (s).
@@ -153,6 +154,7 @@
 // Share of the cloud's call rate that is used.
 inline constexpr double kCloudRateShare = 0.8;
 inline constexpr double kListEveryS = 4.0;
+inline constexpr size_t kMachinePage = 500;  // the most that a page may hold
 inline constexpr double kCatalogEveryS = 60.0;
 // Pause before an offer that was refused is asked for again (s).
 inline constexpr double kRefusedOfferS = 12.0;
@@ -197,7 +199,9 @@
 inline constexpr int kLeaderLaneThreads = 3;
 inline constexpr int kUserLaneThreads = 4;
 inline constexpr int kCloudLaneThreads = 3;
-inline constexpr int kDirectLaneThreads = 6;
+// A zone that hangs leaves hundreds of machines silent, each taking the whole
+// time-out.
+inline constexpr int kDirectLaneThreads = 16;
 // The core's clock: how often it is woken without an input (s).
 inline constexpr double kTickS = 0.04;
 // A connection's thread waits this long for the core (s): less than a worker's
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -57,6 +57,7 @@
   return_in_flight_ = false;
   listing_ = false;
   next_list_ = 0;
+  held_up_at_ = 0;
 }
 
 bool Fleet::TakeCall() {
@@ -68,8 +69,13 @@
   return true;
 }
 
-void Fleet::Tick() {
-  if (types_.empty()) return;
+void Fleet::Tick(bool may_launch) {
+  // Machines are idle for want of work only while work may start: guards
+  // against returning those that what is held up is for.
+  if (!may_launch || placement_->unaccounted() > 0) held_up_at_ = context_->now;
+  // Guards against a leader that is cut off, and perhaps replaced, returning
+  // machines: what it asks may be carried out late, on the next leader's work.
+  if (!may_launch || types_.empty()) return;
   SendReturns();
   for (auto& [name, rent] : rents_)
     if (rent.recorded && !rent.record.answered && !rent.calling &&
@@ -145,7 +151,8 @@
       continue;
     }
     if (m->idle_since == 0) m->idle_since = context_->now;
-    if (!m->base && context_->now - m->idle_since > policy_.hold_s)
+    if (!m->base &&
+        context_->now - std::max(m->idle_since, held_up_at_) > policy_.hold_s)
       Return(m, "idle");
   }
 }
@@ -160,6 +167,8 @@
       [this, generation = generation_](const CloudResult& result) {
         if (generation != generation_) return;
         listing_ = false;
+        // Each page was a call.
+        calls_ -= static_cast<double>(result.listed.size() / kMachinePage);
         if (result.outcome == Outcome::kOk) LearnList(result.listed);
       });
 }
@@ -464,11 +473,13 @@
   rents_[record.name] = std::move(rent);
   // The record comes before the call: guards against a machine that a crash
   // between the two would leave without an owner.
-  writer_->Put(keys::Rent(record.name), wire::EncodeRentRecord(record),
-               [this, name = record.name] {
-                 if (auto it = rents_.find(name); it != rents_.end())
-                   it->second.recorded = true;
-               });
+  writer_->Put(
+      keys::Rent(record.name), wire::EncodeRentRecord(record),
+      [this, name = record.name] {
+        if (auto it = rents_.find(name); it != rents_.end())
+          it->second.recorded = true;
+      },
+      /*urgent=*/true);
 }
 
 void Fleet::CallRent(const std::string& name) {
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -35,7 +35,7 @@
   // A new leader takes over the records of the one before.
   void Load(uint64_t term, const std::vector<RentRecord>& rents);
   void Clear();
-  void Tick();
+  void Tick(bool may_launch);
   // Returns the machine; its tasks count as on it until the cloud confirms.
   void Return(Machine* machine, const std::string& why);
   // The machine's record is committed, or it is gone.
@@ -127,6 +127,7 @@
   bool return_in_flight_ = false;
   bool listing_ = false;
   double next_list_ = 0, next_plan_ = 0;
+  double held_up_at_ = 0;  // when work last could not start
   double calls_ = 0, calls_at_ = 0;
   double base_target_ = 0, base_most_ = 0;
   double load_ = 0;  // CPUs in use, smoothed
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -321,7 +321,11 @@
   if (!machine->heard) {
     machine->heard = true;
     machine->inherited = false;
-    machine->reached_at = context_->now;
+    // Until it showed our token an earlier leader may have answered it: its
+    // lease counts from now. Guards against taking its tasks for gone while
+    // they run, where it was shown the token directly and then fell silent.
+    machine->last_answered = context_->now;
+    machine->unproved_since = machine->reached_at = context_->now;
     unaccounted_stale_ = true;
   }
 }
@@ -583,13 +587,15 @@
   MachineRecord record{machine->name, machine->type_name, machine->zone,
                        machine->address, machine->spot};
   // Before anything is placed there, so that a later leader knows of it.
-  writer_.Put(keys::Machine(machine->name), wire::EncodeMachineRecord(record),
-              [this, name = machine->name] {
-                if (Machine* m = machines_.Find(name)) {
-                  m->recorded = true;
-                  fleet_.Settled(name);
-                }
-              });
+  writer_.Put(
+      keys::Machine(machine->name), wire::EncodeMachineRecord(record),
+      [this, name = machine->name] {
+        if (Machine* m = machines_.Find(name)) {
+          m->recorded = true;
+          fleet_.Settled(name);
+        }
+      },
+      /*urgent=*/true);
 }
 
 // --- Time
@@ -605,7 +611,7 @@
     return;
   }
   writer_.Tick();
-  fleet_.Tick();
+  fleet_.Tick(leadership_->MayLaunch());
   if (context_->now >= next_write_) {
     next_write_ = context_->now + kFinishBatchS;
     WriteFinished();
--- a/src/core/writer.cc
+++ b/src/core/writer.cc
@@ -11,11 +11,13 @@
                const ClusterSettings* settings)
     : context_(context), leadership_(leadership), settings_(settings) {}
 
-void Writer::Put(const std::string& key, std::string value, Done done) {
+void Writer::Put(const std::string& key, std::string value, Done done,
+                 bool urgent) {
   auto [it, added] = waiting_.try_emplace(key);
+  it->second.urgent = urgent;
   it->second.op = StateOp{false, key, std::move(value), 0};
   if (done) it->second.done = std::move(done);
-  if (added) order_.push_back(key);
+  if (added) Line(key, urgent);
 }
 
 void Writer::Remove(const std::string& key) {
@@ -47,8 +49,8 @@
   const double rate = settings_->state_write_rps * kWriteShare;
   tokens_ = std::min(rate, tokens_ + (context_->now - refilled_at_) * rate);
   refilled_at_ = context_->now;
-  while (!order_.empty() && in_flight_ < 1 && context_->now >= next_send_ &&
-         tokens_ >= 1)
+  while (!(urgent_.empty() && order_.empty()) && in_flight_ < 1 &&
+         context_->now >= next_send_ && tokens_ >= 1)
     Send();
 }
 
@@ -60,9 +62,11 @@
       std::min<size_t>(static_cast<size_t>(settings_->state_txn_ops),
                        static_cast<size_t>(std::max(1.0, tokens_)));
   size_t bytes = 0;
-  while (!order_.empty() && ops.size() < most && bytes < kMostWriteBytes) {
-    const std::string key = order_.front();
-    order_.pop_front();
+  while (!(urgent_.empty() && order_.empty()) && ops.size() < most &&
+         bytes < kMostWriteBytes) {
+    auto& line = urgent_.empty() ? order_ : urgent_;
+    const std::string key = line.front();
+    line.pop_front();
     if (uncertain_.count(key)) {
       Read(key);
       continue;
@@ -102,8 +106,8 @@
 
 // Puts back what could not be written, unless a newer write of the key waits.
 void Writer::Queue(const std::string& key, Entry entry) {
-  if (!waiting_.try_emplace(key, std::move(entry)).second) return;
-  order_.push_back(key);
+  const bool urgent = entry.urgent;
+  if (waiting_.try_emplace(key, std::move(entry)).second) Line(key, urgent);
 }
 
 void Writer::Read(const std::string& key) {
@@ -119,12 +123,14 @@
                   } else {
                     next_send_ = context_->now + kWriteRetryS;
                   }
-                  order_.push_back(key);
+                  if (auto it = waiting_.find(key); it != waiting_.end())
+                    Line(key, it->second.urgent);
                 });
 }
 
 void Writer::Clear() {
   waiting_.clear();
+  urgent_.clear();
   order_.clear();
   versions_.clear();
   uncertain_.clear();
--- a/src/core/writer.h
+++ b/src/core/writer.h
@@ -22,8 +22,11 @@
          const ClusterSettings* settings);
 
   // Repeated until it is committed; a later write of the same key replaces one
-  // that has not left yet. `done` runs once the key is written.
-  void Put(const std::string& key, std::string value, Done done = nullptr);
+  // that has not left yet. `done` runs once the key is written. What nothing
+  // may be launched or rented before is urgent: it goes before progress, which
+  // would keep a new fleet waiting.
+  void Put(const std::string& key, std::string value, Done done = nullptr,
+           bool urgent = false);
   void Remove(const std::string& key);
   // What a listing says of a key, before the first write to it.
   void LearnVersion(const std::string& key, uint64_t version) {
@@ -42,7 +45,11 @@
   struct Entry {
     StateOp op;
     Done done;
+    bool urgent = false;
   };
+  void Line(const std::string& key, bool urgent) {
+    (urgent ? urgent_ : order_).push_back(key);
+  }
   void Send();
   void Read(const std::string& key);
   void Queue(const std::string& key, Entry entry);
@@ -51,7 +58,7 @@
   Leadership* leadership_;
   const ClusterSettings* settings_;
   std::map<std::string, Entry> waiting_;
-  std::deque<std::string> order_;
+  std::deque<std::string> urgent_, order_;    // keys in `waiting_`
   std::map<std::string, uint64_t> versions_;  // absent: the key does not exist
   std::set<std::string> uncertain_;  // to be read before the next write
   int in_flight_ = 0;
--- a/src/mesh/mesh.cc
+++ b/src/mesh/mesh.cc
@@ -165,7 +165,8 @@
       std::this_thread::sleep_for(std::chrono::milliseconds(100));
       continue;
     }
-    StartThread("mesh", [this, socket] { Serve(socket); });
+    // Without a thread for it the sibling is told so, and tries again.
+    if (!StartThread("mesh", [this, socket] { Serve(socket); })) close(socket);
   }
 }
 
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -2,11 +2,13 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 #include "core/constants.h"
 #include "core/controller.h"
 #include "core/keys.h"
+#include "core/writer.h"
 #include "wire/json.h"
 
 namespace sorrelwood {
@@ -87,6 +89,8 @@
   }
   bool HasKey(const std::string& key) const { return keys_.count(key) > 0; }
   bool cloud_out = false;
+  // What machines answer to a direct command; the others do not.
+  std::map<std::string, WorkerReport> direct;
 
   static int Starts(const AnswerWorker& answer) {
     return static_cast<int>(std::count_if(
@@ -119,6 +123,17 @@
     result.revision = revision_;
     return result;
   }
+  void Serve(const DirectCommand& command) {
+    DirectResult result;
+    result.id = command.id;
+    auto it = direct.find(command.machine);
+    result.answered = result.accepted = it != direct.end();
+    if (result.answered) {
+      result.report = it->second;
+      result.report.token = command.token;
+    }
+    Give(result);
+  }
   void Serve(const StateTransaction& t) {
     for (const Guard& guard : t.guards) {
       auto it = keys_.find(guard.key);
@@ -197,11 +212,6 @@
     result.no_capacity = !ok;
     Give(result);
   }
-  void Serve(const DirectCommand& command) {
-    DirectResult result;  // nothing reaches a machine here
-    result.id = command.id;
-    Give(result);
-  }
 
   ClusterSettings settings_;
   PolicySettings policy_;
@@ -382,6 +392,82 @@
   EXPECT_LE(leader.most_work(), 60000u);
 }
 
+// A zone is cut off across a takeover, and what was taken over is held up: the
+// machines that it is for are kept meanwhile, though nothing runs there.
+TEST(Leader, KeepsIdleMachinesWhileWorkIsHeldUp) {
+  Leader leader(2, /*hold_s=*/3);
+  std::vector<Healthy> healthy;
+  for (int i = 0; i < 10; ++i) {
+    const std::string name = "n-" + std::to_string(i);
+    leader.AddMachineRecord(name);
+    if (i < 6) healthy.emplace_back(name);
+  }
+  leader.AddJob("job-100000", 60, 1);
+  leader.Run(2);
+  int starts = 0;
+  for (int round = 0; round < 30 && starts == 0; ++round) {
+    for (Healthy& machine : healthy) {
+      EXPECT_FALSE(leader.Released(machine.name));
+      starts += machine.Beat(&leader);
+    }
+    leader.Run(2);
+  }
+  for (Healthy& machine : healthy) starts += machine.Beat(&leader);
+  EXPECT_EQ(starts, 60);
+}
+
+// A machine that another node answers is shown our token directly, and then
+// falls silent. Its lease may have been renewed until that moment.
+TEST(Leader, ALeaseCountsFromWhenOurTokenWasShown) {
+  Leader leader(2, 1000);
+  leader.cloud_out = true;  // returning it would be a proof
+  leader.AddMachineRecord("n-1");
+  leader.AddJob("job-100000", 1);
+  Healthy other("n-2");
+  int starts = 0;
+  double shown = 0;
+  for (double now = 0; now < 60 && starts == 0; now += 1) {
+    if (now > 9 && shown == 0) {
+      shown = now;
+      WorkerReport report;
+      report.machine = "n-1";
+      report.address = "n-1:1";
+      report.type = "big";
+      report.zone = "a";
+      report.session = 1;
+      report.sequence = 5;
+      report.tasks = {{"job-100000", 0, 77, TaskState::kRunning}};
+      leader.direct["n-1"] = report;
+      leader.Run(1.2);
+      leader.direct.clear();
+    }
+    starts += other.Beat(&leader);
+    if (starts > 0) {
+      EXPECT_GE(now, shown + 14);
+    }
+    leader.Run(1);
+  }
+  EXPECT_EQ(starts, 1);
+}
+
+// What nothing may be launched before does not queue behind progress.
+TEST(Writer, UrgentRecordsGoFirst) {
+  Context context(1);
+  Directory directory(&context);
+  Leadership leadership(&context, &directory, "node-0", 14, 39);
+  ClusterSettings settings;
+  Writer writer(&context, &leadership, &settings);
+  for (int i = 0; i < 100; ++i)
+    writer.Put(keys::Progress("job-" + std::to_string(i), 0), "{}");
+  writer.Put(keys::Machine("n-1"), "{}", nullptr, /*urgent=*/true);
+  context.now = 10;
+  writer.Tick();
+  ASSERT_FALSE(context.out.empty());
+  const auto* sent = std::get_if<StateTransaction>(&context.out.front());
+  ASSERT_NE(sent, nullptr);
+  EXPECT_EQ(sent->ops.front().key, keys::Machine("n-1"));
+}
+
 // A team whose jobs fill the front of the queue, and fit nowhere now, does not
 // keep another from its guarantee.
 TEST(Leader, EachTeamHasItsPartOfTheFront) {
