--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -110,8 +110,8 @@
 // --------------------------------------------------------------------- How
 // often queued work is matched with machines (s).
 inline constexpr double kPlaceEveryS = 0.1;
-// Jobs from the front of the queue that one pass looks at, and how many of them
-// each team may have at least.
+// Jobs from the front of the queue that one pass looks at, and how many of each
+// team it looks at in any case.
 inline constexpr size_t kFrontJobs = 64;
 inline constexpr size_t kFrontJobsOfTeam = 12;
 // Above this many machines with room a pass looks at a sample of them, with
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -221,20 +221,20 @@
 
 std::vector<Job*> Placement::Front() {
   std::vector<Job*> front;
-  // Each team has its part of the front: guards against a team with much work
-  // filling it and going beyond its guarantee while another is kept from its
-  // own.
-  const size_t part =
-      std::max(kFrontJobsOfTeam,
-               kFrontJobs / std::max<size_t>(1, settings_->teams.size()));
+  // Beyond the first jobs each team has a part of the front: guards against a
+  // team with much work filling it and going beyond its guarantee while another
+  // is kept from its own.
   std::map<std::string_view, size_t> of_team;
-  size_t full = 0;
+  size_t full = 0;  // teams that have their part
   for (Job* job : jobs_->queue()) {
     ++context_->work;
     size_t& taken = of_team[job->spec().team];
-    if (taken >= part || !Startable(*job) || !WithinQuota(*job)) continue;
+    if ((front.size() >= kFrontJobs && taken >= kFrontJobsOfTeam) ||
+        !Startable(*job) || !WithinQuota(*job))
+      continue;
     front.push_back(job);
-    if (++taken == part && ++full == settings_->teams.size()) break;
+    if (++taken == kFrontJobsOfTeam) ++full;
+    if (front.size() >= kFrontJobs && full >= settings_->teams.size()) break;
   }
   return front;
 }
