A guest's limit of 0 is none; settings that can be done without stop nothing

Ruled out: an unknown team (it is listed). 0 or a missing field is now no guarantee and no limit; an aim that can't be read and a LOG_LEVEL that names none are logged and left out. Taken out, Settings.NoneAndWhatCanBeLeftOut is red.

--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -94,6 +94,10 @@
     }
     return sections;
   }
+  // The same section, its faults told elsewhere.
+  Section Reporting(std::string* error) const {
+    return Section(object_, name_, error);
+  }
   void Wrong(const char* name, const std::string& what) const {
     if (error_->empty()) *error_ = Path(name) + ": " + what;
   }
@@ -158,20 +162,31 @@
   for (const Section& item : cluster.List("teams")) {
     Team team;
     team.name = item.Text("name");
-    team.cpus = item.Number("cpus", 0, kMostCount);
-    team.cpus_max = item.Number("cpus_max", 0, kMostCount);
+    // 0, or a field that is missing, means none: no guarantee, no limit.
+    const auto limit = [&](const char* name) {
+      const double most = item.Number(name, 0, kMostCount, &none);
+      return most > 0 ? most : kNoLimit;
+    };
+    team.cpus = item.Number("cpus", 0, kMostCount, &none);
+    team.cpus_max = limit("cpus_max");
     team.gpus = item.Number("gpus", 0, kMostCount, &none);
-    team.gpus_max = item.Number("gpus_max", 0, kMostCount, &none);
+    team.gpus_max = limit("gpus_max");
     if (!teams.insert(team.name).second) item.Wrong("name", "stands twice");
     s->teams.push_back(std::move(team));
   }
-  for (const Section& item : cluster.List("objectives")) {
+  for (const Section& listed : cluster.List("objectives")) {
+    // An aim that can't be read is left out: the rest can be served without it.
+    std::string wrong;
+    const Section item = listed.Reporting(&wrong);
     Objective objective;
     objective.kind = item.Text("kind");
     objective.job_class = item.OptionalText("class");
     objective.within_s = item.Number("within_s", 0, kMostSeconds, &none);
     objective.times = item.Number("times", 0, kMostCount, &once);
-    s->objectives.push_back(std::move(objective));
+    if (wrong.empty())
+      s->objectives.push_back(std::move(objective));
+    else
+      s->ignored.push_back(wrong);
   }
   const Section workers = cluster.Sub("workers");
   s->report_s = workers.Number("report_s", 0.01, kMostSeconds);
--- a/src/core/job_table.cc
+++ b/src/core/job_table.cc
@@ -92,7 +92,7 @@
     use.gpus += left * spec.gpus;
     job->size_class =
         static_cast<int>(std::log2(1 + left * spec.cpus * Estimate(spec)));
-    if (team != teams.end() && team->cpus_max > 0)
+    if (team != teams.end())  // without a limit: 0 s, so that guests go last
       backlog_s[spec.team] +=
           left * spec.cpus * Estimate(spec) / team->cpus_max;
     job->guaranteed =
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -43,6 +44,9 @@
   std::vector<std::string> zones;
 };
 
+// A team without a limit may use all that is unused.
+inline constexpr double kNoLimit = std::numeric_limits<double>::infinity();
+
 struct Team {
   std::string name;
   double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;
@@ -76,6 +80,8 @@
   double cloud_rps = 4, list_lag_s = 5;
   int sockets = 1000;
   double memory_mib = 0;  // 0: not said
+  // What could not be read and can be done without, each with its reason.
+  std::vector<std::string> ignored;
 };
 
 // The operators' own settings (operator.proto), checked.
--- a/src/main.cc
+++ b/src/main.cc
@@ -19,6 +19,7 @@
 // Settings that can't be used.
 constexpr int kBadSettings = 2;
 
+// False when LOG_LEVEL names no level: then it is `info`.
 bool StartLog() {
   auto logger = spdlog::stderr_logger_mt("sorrelwood");
   logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
@@ -78,10 +79,10 @@
     std::cout << "the settings are good\n";
     return 0;
   }
-  if (!StartLog()) {
-    std::cerr << "sorrelwood: LOG_LEVEL must be error, info or debug\n";
-    return kBadSettings;
-  }
+  if (!StartLog())
+    spdlog::error("LOG_LEVEL must be error, info or debug: it is info now");
+  for (const std::string& ignored : settings.ignored)
+    spdlog::error("left out of the settings: {}", ignored);
   App app(settings, policy, NewIncarnation());
   return app.Run() ? 0 : 1;
 }
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -210,6 +210,30 @@
   }
 }
 
+// A guest team: 0 or a missing field is no guarantee and no limit. What the
+// service can do without keeps it from nothing.
+TEST(Settings, NoneAndWhatCanBeLeftOut) {
+  std::string text = kSettings;
+  const std::string team = "{\"name\":\"t\",\"cpus\":4.0,\"cpus_max\":8.0}";
+  text.replace(text.find(team), team.size(),
+               "{\"name\":\"t\",\"cpus\":4.0,\"cpus_max\":8.0},"
+               "{\"name\":\"zero\",\"cpus\":0.0,\"cpus_max\":0.0},"
+               "{\"name\":\"missing\"}");
+  text.replace(text.find("\"wait\""), 6, "17");
+  ClusterSettings settings;
+  std::string error;
+  ASSERT_TRUE(ParseClusterSettings(text, &settings, &error)) << error;
+  ASSERT_EQ(settings.teams.size(), 3u);
+  EXPECT_EQ(settings.teams[0].cpus_max, 8);
+  for (size_t i : {1u, 2u}) {
+    EXPECT_EQ(settings.teams[i].cpus, 0);
+    EXPECT_EQ(settings.teams[i].cpus_max, kNoLimit);
+  }
+  EXPECT_EQ(settings.objectives.size(), 1u);
+  ASSERT_EQ(settings.ignored.size(), 1u);
+  EXPECT_EQ(settings.ignored[0].find("cluster.objectives[0].kind"), 0u);
+}
+
 // Sockets bound the connections, memory the threads: with both of a large
 // deployment, with those of the least machine, and with too little.
 TEST(Settings, ConnectionsFitSocketsAndThreadsFitMemory) {
