A job that fails everywhere is told from a faulty machine, and claims one task

Cause: until three machines had failed a job, each of its failures counted against the machine, two set it aside, and what ran there was stopped. Now failures are kept by job: errors of jobs that succeed elsewhere count, a job that has succeeded nowhere counts once, and one that failed on three machines counts for none, and what was set aside for it is taken back. It is tried one task at a time at a falling rate, off the machines that it failed on, and claims no more than that of rent, guarantee and queue. One bad task of a job that succeeds is judged alike. Ruled out: waiting with every job's first task (its price is paid by all good jobs; broken tasks fail 0.5 s after their image is there).

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -96,13 +96,23 @@
 // the new token: its next report, the one that the token makes it send at once,
 // and one to spare. After that it is shown the token directly.
 inline constexpr double kTakeoverReports = 2.5;
-// Errors in a row, without a completion, that set a machine aside.
+// What sets a machine aside when nothing has completed there since: so many
+// errors of jobs that succeed elsewhere, or errors of so many jobs that have
+// succeeded nowhere yet.
 inline constexpr int kSickErrors = 2;
-// Machines on which a job fails before the job is held to be at fault.
-inline constexpr int kBadJobMachines = 3;
-// First and longest pause of a job whose tasks fail (s).
+inline constexpr size_t kSickJobs = 3;
+// A job that has succeeded nowhere and failed on so many machines is tried one
+// task at a time; on so many it is held to be at fault, and no machine is.
+inline constexpr size_t kSuspectJobMachines = 2;
+inline constexpr size_t kBadJobMachines = 3;
+// Machines on which one task fails while its job succeeds before the task is
+// held to be at fault.
+inline constexpr int kBadTaskErrors = 3;
+// First and longest pause of a job whose tasks fail (s), and how long it keeps
+// off the machines that it failed on.
 inline constexpr double kErrorPauseS = 2.0;
 inline constexpr double kErrorPauseMaxS = 60.0;
+inline constexpr double kErrorAvoidS = 20.0;
 // A machine that refused a task for want of room is left alone this long (s).
 inline constexpr double kRefusedPauseS = 3.0;
 
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -143,7 +143,7 @@
       continue;
     }
     if (m->set_aside) {
-      Return(m, "it is faulty");
+      if (context_->now >= m->doubted_until) Return(m, "it is faulty");
       continue;
     }
     if (m->notice_until > 0) {
@@ -267,6 +267,7 @@
     return 0;
   double& left = (*team_left)[job.spec().team];
   double count = job.pending.size() - static_cast<double>(job.waiting.size());
+  if (job.failing()) count = std::min(count, 1.0);
   if (job.spec().cpus > 0)
     count = std::min(count, std::floor(left / job.spec().cpus + 1e-6));
   count = std::max(0.0, count);
@@ -390,7 +391,8 @@
       cores += it->second * offer.type->cpus;
   std::map<std::string, double> team_left;  // core-seconds, by the team's limit
   for (Job* job : jobs_->queue()) {
-    if (job->pending.empty() || job->finishing || context_->now < job->retry_at)
+    if (job->pending.empty() || job->finishing || job->failing() ||
+        context_->now < job->retry_at)
       continue;
     const JobSpec& spec = job->spec();
     // An aim that is past, or that comes before a machine could be up and do
--- a/src/core/job_table.cc
+++ b/src/core/job_table.cc
@@ -87,7 +87,7 @@
         std::find_if(teams.begin(), teams.end(),
                      [&](const Team& t) { return t.name == spec.team; });
     TeamUse& use = earlier[spec.team];
-    const double left = spec.tasks - job->done.size();
+    const double left = job->failing() ? 1 : spec.tasks - job->done.size();
     use.cpus += left * spec.cpus;
     use.gpus += left * spec.gpus;
     job->size_class =
@@ -101,7 +101,8 @@
     const double age = wall - job->record->submitted_wall_s;
     if (age > kYieldS) job->size_class = 0;
     job->late = age <= kYieldS && Slack(*job, settings.objectives, wall, 1) < 0;
-    job->unbegun = age > kBeginS && job->placed.empty() && job->done.empty();
+    job->unbegun = age > kBeginS && job->placed.empty() && job->done.empty() &&
+                   !job->failing();
   }
   for (Job* job : by_arrival) job->team_backlog_s = backlog_s[job->spec().team];
   queue_stale_ = true;
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "core/constants.h"
 #include "core/interval_set.h"
 #include "core/types.h"
 
@@ -30,10 +31,12 @@
   std::map<uint32_t, double> waiting;  // killed at t, since when it waits
   IntervalSet rented;                  // runs rented to the end
 
-  // Failing tasks.
+  // Failures since a task of it last completed: on which machines, in how many
+  // rounds of trying, and how often each task of a job that succeeds failed.
   std::set<std::string> error_machines;
-  int errors = 0;
-  double retry_at = 0;
+  int error_rounds = 0;
+  double retry_at = 0, last_error_at = 0;
+  std::map<uint32_t, int> task_errors;
   bool finishing = false;  // the final transaction is under way
 
   // Where it stands in the queue, see JobTable::Rank.
@@ -47,6 +50,17 @@
   bool sampled = false;  // its wait has been taken as a sample
   std::vector<double> features;
 
+  // It has succeeded nowhere and failed on several machines: it is tried one
+  // task at a time, and claims no more than that. Guards against a job that
+  // fails everywhere taking room, rent and guarantee from others.
+  bool failing() const {
+    return done.empty() && error_machines.size() >= kSuspectJobMachines;
+  }
+  // So many that the machines are not at fault.
+  bool broken() const {
+    return done.empty() && error_machines.size() >= kBadJobMachines;
+  }
+
   const JobSpec& spec() const { return record->spec; }
   const std::string& id() const { return record->spec.id; }
 };
--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -74,8 +74,11 @@
   double notice_until = 0;    // the cloud takes it then; 0: no notice
   double idle_since = 0;      // 0: not idle
   double refused_until = 0;
-  int error_streak = 0;
-  std::set<std::string> error_jobs;
+  // Set aside for jobs that may be at fault themselves: kept until then, so that
+  // they are tried elsewhere first. 0: it is at fault.
+  double doubted_until = 0;
+  // Errors since something last completed there, by job.
+  std::map<std::string, int> errors;
   bool pushing = false;
   double next_push = 0;
   std::map<TaskKey, Placed> tasks;
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -12,6 +12,7 @@
 bool Placement::Startable(const Job& job) const {
   if (job.pending.empty() || job.finishing || context_->now < job.retry_at)
     return false;
+  if (job.failing() && !job.placed.empty()) return false;
   // A task of a job that an earlier leader knew may be on a machine that has
   // not been heard: guards against running it twice.
   return !(job.inherited && unaccounted_machines_ > 0);
@@ -49,6 +50,11 @@
 bool Placement::Allowed(const Job& job, const Machine& machine) const {
   const JobSpec& spec = job.spec();
   if (machine.spot && !spec.spot) return false;
+  // It failed there: another machine tells which of the two is at fault.
+  if (!job.error_machines.empty() &&
+      context_->now < job.last_error_at + kErrorAvoidS &&
+      job.error_machines.count(machine.name))
+    return false;
   if (!spec.zone.empty() && machine.zone != spec.zone) return false;
   if (!spec.types.empty() && std::find(spec.types.begin(), spec.types.end(),
                                        machine.type_name) == spec.types.end())
@@ -78,6 +84,7 @@
 }
 
 std::optional<uint32_t> Placement::NextTask(const Job& job, bool owned) {
+  if (job.failing() && !job.placed.empty()) return std::nullopt;
   if (owned) {
     for (const auto& [task, since] : job.waiting)
       if (job.pending.Contains(task)) return task;
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <utility>
 
 #include "core/constants.h"
 #include "core/keys.h"
@@ -420,13 +421,13 @@
       // A task that saved before may run only its rest: not a sample.
       if (ran > 0 && job->spec().checkpoint_s == 0)
         jobs_.LearnRunTime(job->spec(), ran);
-      machine->error_streak = 0;
-      machine->error_jobs.clear();
+      machine->errors.clear();
+      if (machine->set_aside) Judge(machine);
       machine->finished[key] = task.attempt;
       Completed(job, task.task);
       return;
     case ExitReason::kError:
-      if (placed && job) Failed(machine, job);
+      if (placed && job) Failed(machine, job, task.task);
       return;
     case ExitReason::kNoRoom:
     case ExitReason::kBusy:
@@ -473,7 +474,13 @@
 void Scheduler::Completed(Job* job, uint32_t task) {
   if (job->done.Contains(task)) return;
   jobs_.MarkDone(job, task);
-  job->errors = 0;
+  // It succeeds: its failures elsewhere tell of those machines.
+  const std::set<std::string> failed_on =
+      std::exchange(job->error_machines, {});
+  job->error_rounds = 0;
+  job->retry_at = 0;
+  for (const std::string& name : failed_on)
+    if (Machine* other = machines_.Find(name)) Judge(other);
   unfinished_writes_.insert(job->id());
   // Its result is kept: another attempt of it, if there is one, is of no use.
   auto elsewhere = job->placed.find(task);
@@ -484,28 +491,59 @@
   if (it != machine->tasks.end()) it->second.stop = true;
 }
 
-void Scheduler::Failed(Machine* machine, Job* job) {
-  job->error_machines.insert(machine->name);
-  const bool bad_job =
-      static_cast<int>(job->error_machines.size()) >= kBadJobMachines;
-  ++job->errors;
-  if (bad_job) {
+// Who is at fault, the job or the machine? A job that has succeeded somewhere
+// is not; one that has failed on several machines and succeeded nowhere is.
+// Until that is known its failure counts once against the machine.
+void Scheduler::Failed(Machine* machine, Job* job, uint32_t task) {
+  const bool proven = !job->done.empty();
+  if (context_->debug)
+    context_->Debug("failed " + job->id() + "/" + std::to_string(task) +
+                    " on " + machine->name);
+  job->last_error_at = context_->now;
+  const bool news = job->error_machines.insert(machine->name).second;
+  if (job->failing() && context_->now >= job->retry_at) {
+    // Tried again at a falling rate, however many tasks of a round fail.
     const double pause =
-        kErrorPauseS * std::pow(2.0, std::min(job->errors, 10));
+        kErrorPauseS * std::pow(2.0, std::min(++job->error_rounds, 10));
     job->retry_at = context_->now + std::min(pause, kErrorPauseMaxS);
-    return;
   }
-  // Two failures in a row of a machine, and the job does not fail everywhere:
-  // the machine is at fault. Guards against one that swallows the queue.
-  machine->error_jobs.insert(job->id());
-  if (++machine->error_streak >= kSickErrors && !machine->set_aside) {
-    machine->set_aside = true;
-    context_->Info("setting " + machine->name + " aside: its tasks fail");
-    for (auto& [key, placed] : machine->tasks) {
-      const Job* other = jobs_.Find(key.first);
-      placed.stop = true;
-      placed.stop_grace_s = other ? other->spec().save_s : 0;
-    }
+  if (news && job->broken() && job->error_machines.size() == kBadJobMachines) {
+    context_->Info(job->id() + " fails on every machine");
+    // Those that were set aside for it are taken back.
+    for (const std::string& name : job->error_machines)
+      if (Machine* other = machines_.Find(name)) Judge(other);
+  }
+  if (proven && ++job->task_errors[task] >= kBadTaskErrors) return;
+  ++machine->errors[job->id()];
+  Judge(machine);
+}
+
+// Guards against a machine that swallows the queue, and against jobs that fail
+// everywhere taking good machines with them.
+void Scheduler::Judge(Machine* machine) {
+  int proven = 0;
+  size_t unproven = 0;
+  for (const auto& [id, errors] : machine->errors) {
+    const Job* job = jobs_.Find(id);
+    if (!job || job->broken()) continue;  // it was the job, or can't be told
+    if (job->done.empty())
+      ++unproven;
+    else
+      proven += errors;
+  }
+  const bool sick = proven >= kSickErrors || unproven >= kSickJobs;
+  if (proven >= kSickErrors) machine->doubted_until = 0;
+  if (sick == machine->set_aside) return;
+  machine->set_aside = sick;
+  context_->Info(sick ? "setting " + machine->name + " aside: its tasks fail"
+                      : "taking " + machine->name + " back: the jobs failed");
+  if (sick && proven < kSickErrors)
+    machine->doubted_until = context_->now + kErrorAvoidS;
+  if (proven < kSickErrors) return;
+  for (auto& [key, placed] : machine->tasks) {
+    const Job* other = jobs_.Find(key.first);
+    placed.stop = true;
+    placed.stop_grace_s = other ? other->spec().save_s : 0;
   }
 }
 
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -62,7 +62,9 @@
   void DropAll(Machine* machine);
   void DropEverything(Machine* machine);
   void Completed(Job* job, uint32_t task);
-  void Failed(Machine* machine, Job* job);
+  void Failed(Machine* machine, Job* job, uint32_t task);
+  // Sets the machine aside, or takes it back, by what has failed there.
+  void Judge(Machine* machine);
   void NoticeGiven(Machine* machine);
   std::vector<Command> Orders(Machine* machine, const WorkerReport& report);
   void Record(Machine* machine);
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -355,6 +355,109 @@
   EXPECT_EQ(starts, 4);
 }
 
+// Machines on which every task of some jobs fails, and the jobs that fail.
+class FailuresTest : public ::testing::Test {
+ protected:
+  FailuresTest() : leader_(2, 1000) {
+    leader_.Run(2);
+    for (int i = 0; i < 4; ++i)
+      machines_.emplace_back("n-" + std::to_string(i));
+    Round();
+    Round();
+  }
+  // Every machine reports; what `fails` names has ended with an error, the rest
+  // completes.
+  template <typename Fails>
+  void Round(Fails fails) {
+    for (Healthy& machine : machines_) {
+      if (leader_.Released(machine.name)) continue;
+      for (TaskReport& task : machine.tasks) {
+        if (task.state == TaskState::kExited) continue;
+        task.state = TaskState::kExited;
+        const bool failed = fails(machine.name, task.job);
+        task.reason = failed ? ExitReason::kError : ExitReason::kDone;
+        if (failed) ++failures_[task.job];
+      }
+      machine.Beat(&leader_);
+      std::erase_if(machine.tasks, [](const TaskReport& task) {
+        return task.state == TaskState::kExited;
+      });
+    }
+    leader_.Run(2);
+  }
+  void Round() {
+    Round([](const std::string&, const std::string&) { return false; });
+  }
+  int Released() const {
+    return static_cast<int>(
+        std::count_if(machines_.begin(), machines_.end(),
+                      [&](const auto& m) { return leader_.Released(m.name); }));
+  }
+
+  Leader leader_;
+  std::vector<Healthy> machines_;
+  std::map<std::string, int> failures_;
+};
+
+// An array and single tasks that fail everywhere cost no machine, are tried
+// again at a falling rate, and keep nobody from running.
+TEST_F(FailuresTest, JobsThatFailEverywhereCostNoMachine) {
+  leader_.AddJob("job-000001", 60);
+  for (int i = 2; i < 6; ++i)
+    leader_.AddJob("job-00000" + std::to_string(i), 1);
+  const auto broken = [](const std::string&, const std::string& job) {
+    return job < "job-000009";
+  };
+  for (int i = 0; i < 4; ++i) Round(broken);
+  leader_.AddJob("job-100000", 200);
+  std::map<std::string, int> before;
+  for (int i = 0; i < 60; ++i) {
+    if (i == 30) before = failures_;
+    Round(broken);
+  }
+  EXPECT_EQ(Released(), 0);
+  EXPECT_TRUE(leader_.HasKey(keys::Final("job-100000")));
+  for (int i = 1; i < 6; ++i) {
+    const std::string id = "job-00000" + std::to_string(i);
+    EXPECT_GT(failures_[id], before[id]) << id;      // tried again
+    EXPECT_LE(failures_[id], before[id] + 5) << id;  // but seldom
+  }
+  EXPECT_LE(failures_["job-000001"], 60 + 20);
+}
+
+// A faulty machine is found by jobs that succeed elsewhere, while one that
+// fails everywhere is about, and no other machine is taken for it.
+TEST_F(FailuresTest, AFaultyMachineIsFoundBesideABrokenJob) {
+  leader_.AddJob("job-000001", 60);
+  leader_.AddJob("job-100000", 400);
+  for (int i = 0; i < 12; ++i)
+    Round([](const std::string& machine, const std::string& job) {
+      return machine == "n-2" || job == "job-000001";
+    });
+  EXPECT_TRUE(leader_.Released("n-2"));
+  EXPECT_EQ(Released(), 1);
+}
+
+// One task that fails everywhere while its job succeeds is at fault itself.
+TEST_F(FailuresTest, OneBadTaskCostsNoMachine) {
+  leader_.AddJob("job-100000", 1);
+  Round();  // the class and the job are known; then the bad one comes
+  leader_.AddJob("job-200000", 40);
+  int bad = 0;
+  for (int i = 0; i < 30; ++i) {
+    for (Healthy& machine : machines_)
+      for (TaskReport& task : machine.tasks)
+        if (task.job == "job-200000" && task.task == 7) {
+          task.state = TaskState::kExited;
+          task.reason = ExitReason::kError;
+          ++bad;
+        }
+    Round();
+  }
+  EXPECT_GT(bad, 5);
+  EXPECT_EQ(Released(), 0);
+}
+
 // Hundreds of machines, a job of 3,000 tasks and 200 others: for one report
 // the queue is looked at once and the fleet not at all, though a class starts
 // at once and room is kept for it.
