Ends of jobs first, storms bounded, late actions dropped, late boots counted less

Ends of jobs have half of them to themselves, in turn; the leader takes 0.65 of the service's changes instead of 0.5. - Each answer of a watch opened the next at once: with 12 changes a second the watches of five nodes took half of the state service's requests. They are paced. - Polls, submissions and cancellations shared one bound and one lane: polls now have their own; checks and look-ups keep to a share of the service's requests; one read tells the end of a job to all who asked; reports and results go before users' inputs. - A machine that did not come up counted in full for 2.5 boot times. It counts less the later it is, and is given up after 1.8 when three asked for no earlier are up; while all are late none is. - Rentals and returns carry the time until which the leader may act and are not sent after it; after a stop the gap is not taken for the machines' silence; a node that gave up the lead for hearing few machines lets others go first for 90 s. - A state service that does not answer this node alone counts like one that refuses.

--- a/src/app/app.cc
+++ b/src/app/app.cc
@@ -104,12 +104,17 @@
 // --- The core
 // ------------------------------------------------------------------
 
-void App::Post(Input input) {
+void App::Post(Input input, bool from_user) {
   std::lock_guard lock(input_mutex_);
-  inputs_.push_back(std::move(input));
+  (from_user ? user_inputs_ : inputs_).push_back(std::move(input));
   input_ready_.notify_one();
 }
 
+bool App::Crowded() {
+  std::lock_guard lock(input_mutex_);
+  return inputs_.size() + user_inputs_.size() > kMaxQueuedInputs;
+}
+
 void App::CoreLoop() {
   double next_tick = 0, next_figures = 0;
   for (;;) {
@@ -117,11 +122,12 @@
     {
       std::unique_lock lock(input_mutex_);
       const double wait = next_tick - SteadyNow();
-      if (inputs_.empty() && wait > 0)
+      if (inputs_.empty() && user_inputs_.empty() && wait > 0)
         input_ready_.wait_for(lock, std::chrono::duration<double>(wait));
-      if (!inputs_.empty()) {
-        input = std::move(inputs_.front());
-        inputs_.pop_front();
+      auto& line = inputs_.empty() ? user_inputs_ : inputs_;
+      if (!line.empty()) {
+        input = std::move(line.front());
+        line.pop_front();
       }
     }
     const Controller::Time time{SteadyNow(), WallNow()};
@@ -147,6 +153,7 @@
                         std::is_same_v<T, StateGet>) {
             auto& lane = item.lane == StateLane::kRenewal  ? renewal_lane_
                          : item.lane == StateLane::kLeader ? leader_lane_
+                         : item.lane == StateLane::kPoll   ? poll_lane_
                                                            : user_lane_;
             lane.Push(std::move(item));
           } else if constexpr (std::is_same_v<T, StateList>) {
@@ -215,20 +222,35 @@
     state_lane("writes", &leader_lane_, kStateTimeoutS);
   for (int i = 0; i < kUserLaneThreads; ++i)
     state_lane("users", &user_lane_, kStateTimeoutS);
+  for (int i = 0; i < kPollLaneThreads; ++i)
+    state_lane("polls", &poll_lane_, kStateTimeoutS);
 
   const auto cloud_lane = [this, deliver](const char* name,
                                           WaitQueue<Action>* queue) {
     StartThread(name, [this, deliver, queue] {
       CloudClient client(settings_.cloud_address, kCloudTimeoutS);
+      // The look is right before sending; a stop that falls between the two is
+      // harmless, if seldom: see "Late actions" in docs/design.md.
+      const auto in_time = [&](const auto& action) {
+        if (SteadyNow() <= action.not_after) return true;
+        CloudResult result;
+        result.id = action.id;
+        result.outcome = Outcome::kRefused;
+        result.too_late = true;
+        deliver(std::move(result));
+        return false;
+      };
       for (;;) {
         const Action action = queue->Pop();
         if (auto* catalog = std::get_if<CloudCatalog>(&action))
           deliver(client.Catalog(*catalog));
         else if (auto* list = std::get_if<CloudList>(&action))
           deliver(client.List(*list));
-        else if (auto* rent = std::get_if<CloudRent>(&action))
+        else if (auto* rent = std::get_if<CloudRent>(&action);
+                 rent && in_time(*rent))
           deliver(client.Rent(*rent));
-        else if (auto* release = std::get_if<CloudRelease>(&action))
+        else if (auto* release = std::get_if<CloudRelease>(&action);
+                 release && in_time(*release))
           deliver(client.Release(*release));
       }
     });
@@ -264,7 +286,8 @@
 // --- Requests
 // -------------------------------------------------------------------
 
-App::Answer App::Ask(const std::function<Input(uint64_t)>& make) {
+App::Answer App::Ask(const std::function<Input(uint64_t)>& make,
+                     bool from_user) {
   auto slot = std::make_shared<Slot>();
   uint64_t request = 0;
   {
@@ -272,7 +295,7 @@
     request = next_request_++;
     slots_[request] = slot;
   }
-  Post(make(request));
+  Post(make(request), from_user);
   {
     std::unique_lock lock(slot->mutex);
     slot->ready.wait_for(lock, std::chrono::duration<double>(kCoreAnswerS),
@@ -320,11 +343,14 @@
   std::string error;
   if (!wire::ParseReport(request.body, &report, &error))
     return Error(400, error);
-  Answer answer = Ask([&](uint64_t id) -> Input {
-    return [id, report = std::move(report)](Controller& c, Controller::Time t) {
-      return c.Report(t, id, report);
-    };
-  });
+  Answer answer = Ask(
+      [&](uint64_t id) -> Input {
+        return [id, report = std::move(report)](Controller& c,
+                                                Controller::Time t) {
+          return c.Report(t, id, report);
+        };
+      },
+      /*from_user=*/false);
   return {answer.status, std::move(answer.body)};
 }
 
@@ -338,11 +364,14 @@
     std::string error;
     if (!wire::ParseSubmission(request.body, &spec, &error))
       return Error(400, error);
-    answer = Ask([&](uint64_t id) -> Input {
-      return [id, spec = std::move(spec)](Controller& c, Controller::Time t) {
-        return c.Submit(t, id, spec);
-      };
-    });
+    answer = Ask(
+        [&](uint64_t id) -> Input {
+          return
+              [id, spec = std::move(spec)](Controller& c, Controller::Time t) {
+                return c.Submit(t, id, spec);
+              };
+        },
+        /*from_user=*/true);
   } else if (path.compare(0, kRoot.size() + 1, kRoot + "/") == 0) {
     std::string job = path.substr(kRoot.size() + 1);
     static const std::string kCancel = "/cancel";
@@ -353,11 +382,15 @@
     if (job.find('/') != std::string::npos) return Error(404, "no such path");
     if (request.method != (cancel ? "POST" : "GET"))
       return Error(405, cancel ? "use POST" : "use GET");
-    answer = Ask([&](uint64_t id) -> Input {
-      return [id, job, cancel](Controller& c, Controller::Time t) {
-        return cancel ? c.Cancel(t, id, job) : c.Poll(t, id, job);
-      };
-    });
+    if (!cancel && Crowded())
+      return Error(429, "too many requests are waiting", 2);
+    answer = Ask(
+        [&](uint64_t id) -> Input {
+          return [id, job, cancel](Controller& c, Controller::Time t) {
+            return cancel ? c.Cancel(t, id, job) : c.Poll(t, id, job);
+          };
+        },
+        /*from_user=*/true);
   } else {
     return Error(404, "no such path");
   }
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -42,7 +42,8 @@
   HttpReply HandleUser(const HttpRequest& request);
   HttpReply HandleReport(const HttpRequest& request);
   // Hands an input to the core and waits for the answer to it.
-  Answer Ask(const std::function<Input(uint64_t request)>& make);
+  Answer Ask(const std::function<Input(uint64_t request)>& make,
+             bool from_user);
   void Reply(uint64_t request, Answer answer);
   void PublishFigures();
 
@@ -56,10 +57,14 @@
 
   std::mutex input_mutex_;
   std::condition_variable input_ready_;
-  std::deque<Input> inputs_;
-  void Post(Input input);
+  // What users ask comes after what machines, siblings and outside services
+  // say: guards against a storm of questions holding up renewals and reports.
+  std::deque<Input> inputs_, user_inputs_;
+  void Post(Input input, bool from_user = false);
+  bool Crowded();
 
-  WaitQueue<Action> renewal_lane_, leader_lane_, user_lane_, watch_lane_;
+  WaitQueue<Action> renewal_lane_, leader_lane_, user_lane_, poll_lane_;
+  WaitQueue<Action> watch_lane_;
   WaitQueue<Action> list_lane_, cloud_lane_, cloud_list_lane_, direct_lane_;
 
   std::mutex slot_mutex_;
--- a/src/core/actions.h
+++ b/src/core/actions.h
@@ -22,7 +22,7 @@
 };
 
 // Which connection carries a request: a slow one must not hold up another.
-enum class StateLane { kRenewal, kLeader, kUser };
+enum class StateLane { kRenewal, kLeader, kUser, kPoll };
 
 struct StateTransaction {
   uint64_t id = 0;
@@ -61,13 +61,18 @@
 struct CloudCatalog {
   uint64_t id = 0;
 };
+// What changes the fleet must leave before `not_after` (steady clock, s): after
+// it another leader may act, and a process may stand still between deciding and
+// sending. Later it is not sent.
 struct CloudRent {
   uint64_t id = 0;
   RentRecord rent;
+  double not_after = 0;
 };
 struct CloudRelease {
   uint64_t id = 0;
   std::vector<std::string> machines;
+  double not_after = 0;
 };
 struct CloudList {
   uint64_t id = 0;
@@ -140,6 +145,7 @@
   uint64_t id = 0;
   Outcome outcome = Outcome::kUnknown;
   bool no_capacity = false;
+  bool too_late = false;  // refused by our own lane: its time had passed
   std::vector<MachineType> types;
   std::vector<std::string> machines;
   std::vector<ListedMachine> listed;
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -28,6 +28,12 @@
 inline constexpr int kAbdicateMachines = 3;
 inline constexpr double kAbdicatePauseS = 8.0;
 inline constexpr double kAbdicateEveryS = 90.0;
+// For that long it lets the others go first in an election by so much (s): two
+// or three of their tries.
+inline constexpr double kShyPauseS = 2.0;
+// The core is woken every kTickS: a gap of so long (s) between two inputs means
+// that the process stood still, and heard nobody meanwhile.
+inline constexpr double kStallS = 1.0;
 // Margin by which report answers stop before the reach that a successor counts
 // on ends; covers a slow thread and the network.
 inline constexpr double kReachMarginS = 2.0;
@@ -39,16 +45,26 @@
 // answer (s). A few hundred milliseconds are usual now and then.
 inline constexpr double kStateTimeoutS = 2.0;
 inline constexpr double kRenewTimeoutS = 1.2;
+// The share of the service's requests that the watches of all nodes use when
+// news come one after the other: each answer opens the next watch.
+inline constexpr double kWatchShare = 0.2;
 // One watch; short, so that a dead connection is noticed.
 inline constexpr double kWatchS = 2.0;
 inline constexpr double kWatchSlackS = 3.0;
 // Polls that wait for a check with the state service share one transaction; the
-// first one waits at most this long (s).
+// first one waits at most this long (s), or longer where all nodes together
+// would otherwise use more than this share of the service's requests.
 inline constexpr double kCheckBatchS = 0.08;
+inline constexpr double kCheckShare = 0.3;
+// The share that all nodes together use to look up jobs they do not know, when
+// users ask; and the least a node may ask for in a second.
+inline constexpr double kLookUpShare = 0.2;
+inline constexpr double kLeastLookUps = 2.0;
 // Finished tasks are collected for this long before they are written (s).
 inline constexpr double kFinishBatchS = 0.25;
-// Share of the state service's write rate that one leader uses.
-inline constexpr double kWriteShare = 0.5;
+// Share of the state service's write rate that one leader uses; the rest is for
+// submissions and cancellations.
+inline constexpr double kWriteShare = 0.65;
 // Pause after a write that did not get through (s).
 inline constexpr double kWriteRetryS = 0.3;
 // Bytes of values in one transaction: half of the protocol's 64 KiB, which also
@@ -69,8 +85,14 @@
 // user gives up after 5 s (submit) or 2 s (poll): answer 503 before that.
 inline constexpr double kSubmitAnswerS = 3.5;
 inline constexpr double kPollAnswerS = 1.5;
-// Requests that may wait for the state service at once; further ones get 503.
-inline constexpr size_t kMaxWaitingRequests = 200;
+// Requests that may wait for the state service at once, polls apart from
+// submissions and cancellations, so that a storm of the first leaves room for
+// the others; further ones get 429.
+inline constexpr size_t kMaxWaitingPolls = 120;
+inline constexpr size_t kMaxWaitingChanges = 80;
+// Inputs that wait for the core beyond which polls are turned away (429): more
+// than a burst of reports, less than a second's work on the least machine.
+inline constexpr size_t kMaxQueuedInputs = 150;
 // Final states kept in memory; older ones are read again when asked for.
 inline constexpr size_t kFinalCache = 20000;
 inline constexpr uint32_t kMaxTasks = 100000;
@@ -189,8 +211,16 @@
 inline constexpr double kMoveRoom = 1.3;
 inline constexpr double kMoveUsedShare = 0.5;
 inline constexpr double kMoveAfterS = 32.0;
-// A machine that takes this many times its boot time is given up.
-inline constexpr double kBootPatience = 2.5;
+// A machine that is not up counts in full as coming for this many boot times,
+// the longest usual one, and for nothing after so many.
+inline constexpr double kBootUsual = 1.5;
+inline constexpr double kBootLate = 3.0;
+// It is given up after this many when so many of its type that were asked for
+// no earlier are up, since another would be up sooner; in any case after so
+// many.
+inline constexpr double kBootPatience = 1.8;
+inline constexpr size_t kBootPeers = 3;
+inline constexpr double kBootPatienceMost = 6.0;
 inline constexpr double kBootPatienceMinS = 30.0;
 inline constexpr int kMaxPerRent = 50;
 inline constexpr size_t kMaxPerRelease = 100;
@@ -207,7 +237,8 @@
 // Threads, each with a connection of its own. Enough that one slow answer does
 // not hold up the next request of its kind.
 inline constexpr int kLeaderLaneThreads = 3;
-inline constexpr int kUserLaneThreads = 4;
+inline constexpr int kUserLaneThreads = 3;
+inline constexpr int kPollLaneThreads = 2;
 inline constexpr int kCloudLaneThreads = 3;
 // A zone that hangs leaves hundreds of machines silent, each taking the whole
 // time-out.
--- a/src/core/context.h
+++ b/src/core/context.h
@@ -52,12 +52,14 @@
   void Catalog(CloudCallback done) {
     out.push_back(CloudCatalog{ExpectCloud(std::move(done))});
   }
-  void Rent(RentRecord rent, CloudCallback done) {
-    out.push_back(CloudRent{ExpectCloud(std::move(done)), std::move(rent)});
-  }
-  void Release(std::vector<std::string> machines, CloudCallback done) {
+  void Rent(RentRecord rent, double not_after, CloudCallback done) {
     out.push_back(
-        CloudRelease{ExpectCloud(std::move(done)), std::move(machines)});
+        CloudRent{ExpectCloud(std::move(done)), std::move(rent), not_after});
+  }
+  void Release(std::vector<std::string> machines, double not_after,
+               CloudCallback done) {
+    out.push_back(CloudRelease{ExpectCloud(std::move(done)),
+                               std::move(machines), not_after});
   }
   void ListMachines(CloudCallback done) {
     out.push_back(CloudList{ExpectCloud(std::move(done))});
@@ -79,10 +81,11 @@
   }
 
   void Deliver(const StateResult& result) {
-    if (result.outcome == Outcome::kRefused) {
-      if (refused_since_ == 0) refused_since_ = now;
-    } else if (result.outcome != Outcome::kUnknown) {
-      refused_since_ = 0;
+    if (result.outcome == Outcome::kRefused ||
+        result.outcome == Outcome::kUnknown) {
+      if (unserved_since_ == 0) unserved_since_ = now;
+    } else {
+      unserved_since_ = 0;
       served_at_ = now;
     }
     Call(state_, result);
@@ -90,8 +93,9 @@
   void Deliver(const CloudResult& result) { Call(cloud_, result); }
   void Deliver(const DirectResult& result) { Call(direct_, result); }
 
-  // Since when the state service has refused all that was asked; 0: it has not.
-  double refused_since() const { return refused_since_; }
+  // Since when the state service has served nothing that was asked, whether it
+  // refused or did not answer; 0: it serves.
+  double unserved_since() const { return unserved_since_; }
   double served_at() const { return served_at_; }
 
   // Uniform in [0, 1).
@@ -119,7 +123,7 @@
   }
 
   uint64_t next_id_ = 1;
-  double refused_since_ = 0, served_at_ = 0;
+  double unserved_since_ = 0, served_at_ = 0;
   std::map<uint64_t, StateCallback> state_;
   std::map<uint64_t, CloudCallback> cloud_;
   std::map<uint64_t, DirectCallback> direct_;
--- a/src/core/controller.cc
+++ b/src/core/controller.cc
@@ -11,7 +11,8 @@
                        const PolicySettings& policy, uint64_t incarnation)
     : settings_(settings),
       context_(incarnation),
-      directory_(&context_),
+      directory_(&context_, static_cast<double>(settings_.siblings.size() + 1) /
+                                (settings_.state_rps * kWatchShare)),
       leadership_(&context_, &directory_, settings_.node, settings_.lease_s,
                   settings_.cancel_s),
       front_desk_(&context_, &directory_, &settings_),
@@ -29,9 +30,16 @@
 }
 
 void Controller::Begin(Time time) {
+  // Only a gap between two inputs tells of it: the clock goes on meanwhile.
+  const double gap_s = time.steady - context_.now;
   context_.now = time.steady;
   context_.wall = time.wall;
   context_.work = 0;
+  if (began_ && gap_s > kStallS) {
+    context_.Info("stood still for " + std::to_string(gap_s) + " s");
+    scheduler_.Stalled(gap_s);
+  }
+  began_ = true;
 }
 
 Actions Controller::End() { return std::exchange(context_.out, {}); }
@@ -116,9 +124,9 @@
 }
 
 bool Controller::Healthy() const {
-  const double since = context_.refused_since();
+  const double since = context_.unserved_since();
   if (since == 0) return true;
-  // Only what was served after our refusals began tells an outage from them.
+  // Only what was served after that tells an outage from what ails us alone.
   const auto served = std::count_if(
       sibling_served_.begin(), sibling_served_.end(),
       [&](const auto& item) { return item.second > since + kShutOutS; });
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -62,6 +62,7 @@
   FrontDesk front_desk_;
   Scheduler scheduler_;
   uint64_t incarnation_;
+  bool began_ = false;  // an input has come
 
   bool catalog_known_ = false, reading_catalog_ = false;
   double next_catalog_ = 0, next_note_ = 0;
--- a/src/core/directory.cc
+++ b/src/core/directory.cc
@@ -12,7 +12,7 @@
   if (busy_ || context_->now < retry_at_) return;
   if (!loaded_)
     Load();
-  else
+  else if (context_->now >= next_watch_)
     Watch();
 }
 
@@ -54,6 +54,7 @@
 void Directory::Watch() {
   busy_ = true;
   const double sent = context_->now;
+  next_watch_ = sent + watch_every_s_;
   context_->Watch(keys::kWatched, revision_,
                   [this, sent](const StateResult& result) {
                     busy_ = false;
@@ -68,7 +69,7 @@
                     for (const KeyValue& change : result.items) Apply(change);
                     revision_ = std::max(revision_, result.revision);
                     synced_at_ = std::max(synced_at_, sent);
-                    if (!busy_) Watch();
+                    if (!busy_ && context_->now >= next_watch_) Watch();
                   });
 }
 
--- a/src/core/directory.h
+++ b/src/core/directory.h
@@ -23,7 +23,9 @@
 
 class Directory {
  public:
-  explicit Directory(Context* context) : context_(context) {}
+  // Watches are sent no more often than `watch_every_s`.
+  explicit Directory(Context* context, double watch_every_s = 0)
+      : context_(context), watch_every_s_(watch_every_s) {}
 
   void Tick();
 
@@ -61,6 +63,8 @@
   void Apply(const KeyValue& change);
 
   Context* context_;
+  const double watch_every_s_;
+  double next_watch_ = 0;
   std::map<std::string, KnownJob> live_;
   std::unordered_map<std::string, FinalState> final_;
   std::deque<std::string> final_order_;
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -69,7 +69,8 @@
   return true;
 }
 
-void Fleet::Tick(bool may_launch) {
+void Fleet::Tick(bool may_launch, double launch_until) {
+  launch_until_ = launch_until;
   // Machines are idle for want of work only while work may start: guards
   // against returning those that what is held up is for.
   if (!may_launch || placement_->unaccounted() > 0) held_up_at_ = context_->now;
@@ -109,22 +110,23 @@
     names.push_back(name);
   }
   return_in_flight_ = true;
-  context_->Release(names, [this, names, generation = generation_](
-                               const CloudResult& result) {
-    if (generation != generation_) return;
-    return_in_flight_ = false;
-    if (result.outcome != Outcome::kOk) return;  // sent again
-    for (const std::string& name : names) {
-      returning_.erase(name);
-      Machine* machine = machines_->Find(name);
-      if (!machine) continue;
-      if (machine->recorded || machine->recording)
-        writer_->Remove(keys::Machine(name));
-      if (on_gone) on_gone(machine);
-      machines_->Remove(name);
-      Settled(name);
-    }
-  });
+  context_->Release(
+      names, launch_until_,
+      [this, names, generation = generation_](const CloudResult& result) {
+        if (generation != generation_) return;
+        return_in_flight_ = false;
+        if (result.outcome != Outcome::kOk) return;  // sent again
+        for (const std::string& name : names) {
+          returning_.erase(name);
+          Machine* machine = machines_->Find(name);
+          if (!machine) continue;
+          if (machine->recorded || machine->recording)
+            writer_->Remove(keys::Machine(name));
+          if (on_gone) on_gone(machine);
+          machines_->Remove(name);
+          Settled(name);
+        }
+      });
 }
 
 void Fleet::ReturnIdle() {
@@ -132,10 +134,7 @@
     Machine* m = machine.get();
     if (m->releasing || !m->type) continue;
     if (!m->ever_reported) {
-      const double patience =
-          std::max(kBootPatienceMinS, m->type->boot_s * kBootPatience);
-      if (!m->inherited && context_->now - m->rented_at > patience)
-        Return(m, "it has not come up");
+      if (GivenUp(*m)) Return(m, "it has not come up");
       continue;
     }
     if (!m->tasks.empty() || !m->finished.empty() || !m->heard) {
@@ -188,6 +187,10 @@
       machine->spot = item.spot;
       machine->rented_at = context_->now - item.age_s;
     }
+    // One that an earlier leader rented: since when, only the list tells.
+    if (!machine->ever_reported)
+      machine->rented_at =
+          std::min(machine->rented_at, context_->now - item.age_s);
     machine->listed = machine->vouched = true;
     machine->missing_since = 0;
     if (machine->address.empty()) machine->address = item.address;
@@ -280,13 +283,37 @@
          !machine.set_aside && !machine.deaf && machine.notice_until == 0;
 }
 
+double Fleet::Coming(const Machine& machine) const {
+  if (machine.ever_reported) return 1;
+  const double boots =
+      (context_->now - machine.rented_at) / std::max(1.0, machine.type->boot_s);
+  return std::clamp((kBootLate - boots) / (kBootLate - kBootUsual), 0.0, 1.0);
+}
+
+bool Fleet::GivenUp(const Machine& machine) const {
+  const double age = context_->now - machine.rented_at;
+  const auto over = [&](double boots) {
+    return age > std::max(kBootPatienceMinS, machine.type->boot_s * boots);
+  };
+  if (!over(kBootPatience)) return false;
+  // While all are late none is given up for being late, or all that was paid
+  // would be lost.
+  size_t peers = 0;
+  for (const auto& [name, other] : machines_->all())
+    if (other->type == machine.type && other->came_up_at > 0 &&
+        other->rented_at >= machine.rented_at && ++peers >= kBootPeers)
+      return true;
+  return over(kBootPatienceMost);
+}
+
 // What is up, booting and asked for, less what is placed there.
 std::vector<Fleet::Room> Fleet::Rooms(double drain_s) const {
   std::vector<Room> rooms;
   for (const auto& [name, machine] : machines_->all()) {
     if (!InPlan(*machine)) continue;
-    Room room{machine->type, machine->zone, machine->spot,
-              machine->type->cpus * drain_s};
+    const double cpus = machine->type->cpus * Coming(*machine);
+    Room room{machine->type, machine->zone, machine->spot, cpus,
+              cpus * drain_s};
     for (const auto& [key, placed] : machine->tasks) {
       const Job* job = jobs_->Find(key.first);
       if (!job) continue;
@@ -302,8 +329,8 @@
     if (rent.record.answered) continue;
     const MachineType* type = FindType(rent.record.type);
     for (int i = 0; type && i < rent.record.count; ++i)
-      rooms.push_back(
-          {type, rent.record.zone, rent.record.spot, type->cpus * drain_s});
+      rooms.push_back({type, rent.record.zone, rent.record.spot, type->cpus,
+                       type->cpus * drain_s});
   }
   return rooms;
 }
@@ -357,7 +384,7 @@
     const Offer* best = Cheapest(job, count, /*dear=*/false, offers, *wanted);
     if (!best) return;
     const double each = CoreSeconds(spec, *best->type, policy_.drain_s);
-    Room room{best->type, best->zone, best->spot,
+    Room room{best->type, best->zone, best->spot, best->type->cpus,
               best->type->cpus * policy_.drain_s};
     const double fit =
         std::min(count, std::max(1.0, std::floor(room.core_seconds / each)));
@@ -383,8 +410,8 @@
   for (const auto& [name, type] : types_)
     boot_s = std::max(boot_s, type.boot_s);
   for (const Room& room : Rooms(policy_.dear_drain_s)) {
-    cores += room.type->cpus;
-    work += room.type->cpus * policy_.dear_drain_s - room.core_seconds;
+    cores += room.cpus;
+    work += room.cpus * policy_.dear_drain_s - room.core_seconds;
   }
   for (const Offer& offer : offers)
     if (auto it = wanted->find(offer.Key()); it != wanted->end())
@@ -430,7 +457,7 @@
   const std::vector<Offer> offers = Offers();
   double planned = 0;
   for (const auto& [name, machine] : machines_->all())
-    if (InPlan(*machine)) planned += machine->type->cpus;
+    if (InPlan(*machine)) planned += machine->type->cpus * Coming(*machine);
   for (const auto& [name, rent] : rents_)
     if (const MachineType* type = FindType(rent.record.type);
         type && !rent.record.answered)
@@ -487,50 +514,52 @@
 void Fleet::CallRent(const std::string& name) {
   OpenRent& rent = rents_[name];
   rent.calling = true;
-  context_->Rent(rent.record, [this, name, generation = generation_](
-                                  const CloudResult& result) {
-    if (generation != generation_) return;
-    auto it = rents_.find(name);
-    if (it == rents_.end()) return;
-    OpenRent& open = it->second;
-    open.calling = false;
-    const std::string offer = open.record.type + "|" + open.record.zone + "|" +
-                              (open.record.spot ? "spot" : "ordinary");
-    if (result.outcome == Outcome::kRefused) {
-      refused_until_[offer] =
-          context_->now +
-          (result.no_capacity ? kRefusedOfferS : kCloudTroubleS);
-      EndRent(name);
-      return;
-    }
-    if (result.outcome != Outcome::kOk) {
-      // It may have been carried out: the same name asked again tells.
-      open.next_call = context_->now + 1;
-      return;
-    }
-    if (static_cast<int>(result.machines.size()) < open.record.count)
-      refused_until_[offer] = context_->now + kRefusedOfferS;
-    open.record.answered = true;
-    open.record.machines = result.machines;
-    for (const std::string& machine_name : result.machines) {
-      if (machines_->Gone(machine_name)) continue;
-      Machine* machine = machines_->Find(machine_name);
-      if (!machine) {
-        machine = machines_->Add(machine_name);
-        machine->type_name = open.record.type;
-        machine->type = FindType(open.record.type);
-        machine->zone = open.record.zone;
-        machine->spot = open.record.spot;
-        machine->rented_at = open.began;
-      }
-      machine->vouched = true;
-      if (!machine->recorded) open.unsettled.insert(machine_name);
-    }
-    if (open.unsettled.empty())
-      EndRent(name);
-    else
-      writer_->Put(keys::Rent(name), wire::EncodeRentRecord(open.record));
-  });
+  context_->Rent(
+      rent.record, launch_until_,
+      [this, name, generation = generation_](const CloudResult& result) {
+        if (generation != generation_) return;
+        auto it = rents_.find(name);
+        if (it == rents_.end()) return;
+        OpenRent& open = it->second;
+        open.calling = false;
+        const std::string offer = open.record.type + "|" + open.record.zone +
+                                  "|" +
+                                  (open.record.spot ? "spot" : "ordinary");
+        if (result.outcome == Outcome::kRefused && !result.too_late) {
+          refused_until_[offer] =
+              context_->now +
+              (result.no_capacity ? kRefusedOfferS : kCloudTroubleS);
+          EndRent(name);
+          return;
+        }
+        if (result.outcome != Outcome::kOk) {
+          // It may have been carried out: the same name asked again tells.
+          open.next_call = context_->now + 1;
+          return;
+        }
+        if (static_cast<int>(result.machines.size()) < open.record.count)
+          refused_until_[offer] = context_->now + kRefusedOfferS;
+        open.record.answered = true;
+        open.record.machines = result.machines;
+        for (const std::string& machine_name : result.machines) {
+          if (machines_->Gone(machine_name)) continue;
+          Machine* machine = machines_->Find(machine_name);
+          if (!machine) {
+            machine = machines_->Add(machine_name);
+            machine->type_name = open.record.type;
+            machine->type = FindType(open.record.type);
+            machine->zone = open.record.zone;
+            machine->spot = open.record.spot;
+            machine->rented_at = open.began;
+          }
+          machine->vouched = true;
+          if (!machine->recorded) open.unsettled.insert(machine_name);
+        }
+        if (open.unsettled.empty())
+          EndRent(name);
+        else
+          writer_->Put(keys::Rent(name), wire::EncodeRentRecord(open.record));
+      });
 }
 
 void Fleet::Settled(const std::string& machine) {
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -35,7 +35,9 @@
   // A new leader takes over the records of the one before.
   void Load(uint64_t term, const std::vector<RentRecord>& rents);
   void Clear();
-  void Tick(bool may_launch);
+  // `launch_until`: when this leader's leave to act ends unless it is renewed.
+  void Tick(bool may_launch, double launch_until);
+
   // Returns the machine; its tasks count as on it until the cloud confirms.
   void Return(Machine* machine, const std::string& why);
   // The machine's record is committed, or it is gone.
@@ -66,6 +68,7 @@
     const MachineType* type = nullptr;
     std::string zone;
     bool spot = false;
+    double cpus = 0;  // fewer than the type's while its start is late
     double core_seconds = 0;
   };
 
@@ -75,6 +78,10 @@
   void Plan();
   std::vector<Room> Rooms(double drain_s) const;
   static bool InPlan(const Machine& machine);
+  // How far a machine counts as room: less the later its start is.
+  double Coming(const Machine& machine) const;
+  // It is so late that another would be up sooner.
+  bool GivenUp(const Machine& machine) const;
   // Rents what the rooms can't do within the drain time, with offers that cost
   // little more than the cheapest would.
   void PlanCheap(std::map<std::string, int>* wanted);
@@ -128,6 +135,7 @@
   bool listing_ = false;
   double next_list_ = 0, next_plan_ = 0;
   double held_up_at_ = 0;  // when work last could not start
+  double launch_until_ = 0;
   double calls_ = 0, calls_at_ = 0;
   double base_target_ = 0, base_most_ = 0;
   double load_ = 0;  // CPUs in use, smoothed
--- a/src/core/front_desk.cc
+++ b/src/core/front_desk.cc
@@ -11,31 +11,57 @@
 
 FrontDesk::FrontDesk(Context* context, Directory* directory,
                      const ClusterSettings* settings)
-    : context_(context), directory_(directory), settings_(settings) {}
+    : context_(context),
+      directory_(directory),
+      settings_(settings),
+      check_every_s_(std::max(
+          kCheckBatchS, static_cast<double>(settings->siblings.size() + 1) /
+                            (settings->state_rps * kCheckShare))) {}
 
 void FrontDesk::Tick() {
   std::vector<uint64_t> late;
-  for (const auto& [request, until] : open_)
-    if (context_->now > until) late.push_back(request);
+  for (const auto& [request, open] : open_)
+    if (context_->now > open.until) late.push_back(request);
   for (uint64_t request : late)
     Unavailable(request, "the state service does not answer");
   if (!checks_.empty() && context_->now >= check_at_ && checks_sent_ < 4)
     Check();
 }
 
-bool FrontDesk::Admit(uint64_t request, double answer_within_s) {
-  if (open_.size() >= kMaxWaitingRequests) {
-    context_->out.push_back(AnswerUser{
-        request, 429, wire::EncodeError("too many requests are waiting"), 2});
-    return false;
-  }
-  open_[request] = context_->now + answer_within_s;
+bool FrontDesk::Admit(uint64_t request, Kind kind) {
+  const bool poll = kind == Kind::kPoll;
+  const size_t waiting = poll ? open_polls_ : open_.size() - open_polls_;
+  open_[request] = {kind,
+                    context_->now + (poll ? kPollAnswerS : kSubmitAnswerS)};
+  if (poll) ++open_polls_;
+  if (waiting < (poll ? kMaxWaitingPolls : kMaxWaitingChanges)) return true;
+  Busy(request, "too many requests are waiting");
+  return false;
+}
+
+void FrontDesk::Busy(uint64_t request, const std::string& why) {
+  Answer(request, 429, wire::EncodeError(why), 2);
+}
+
+// Guards against polls for jobs that nobody submitted, or that are long over,
+// taking the state service's requests from renewals and the leader's writes.
+bool FrontDesk::MayLookUp() {
+  const double rate = std::max(
+      kLeastLookUps, settings_->state_rps * kLookUpShare /
+                         static_cast<double>(settings_->siblings.size() + 1));
+  look_ups_ = std::min(rate, look_ups_ + (context_->now - look_ups_at_) * rate);
+  look_ups_at_ = context_->now;
+  if (look_ups_ < 1) return false;
+  look_ups_ -= 1;
   return true;
 }
 
 void FrontDesk::Answer(uint64_t request, int status, std::string body,
                        double retry_after_s) {
-  if (open_.erase(request) == 0) return;  // answered already
+  const auto open = open_.find(request);
+  if (open == open_.end()) return;  // answered already
+  if (open->second.kind == Kind::kPoll) --open_polls_;
+  open_.erase(open);
   context_->out.push_back(
       AnswerUser{request, status, std::move(body), retry_after_s});
 }
@@ -90,7 +116,7 @@
 }
 
 void FrontDesk::Submit(uint64_t request, const JobSpec& spec) {
-  if (!Admit(request, kSubmitAnswerS)) return;
+  if (!Admit(request, Kind::kChange)) return;
   const std::string id = spec.id;
   if (auto state = directory_->FindFinal(id)) {
     AnswerFinal(request, id, *state);
@@ -117,7 +143,7 @@
             Answer(request, 201, wire::EncodeStatus(id, "queued"));
             return;
           case Outcome::kConflict:
-            LookUp(id, [this, request, id](Where where) {
+            LookUp(StateLane::kUser, id, [this, request, id](Where where) {
               if (where == Where::kNoAnswer || where == Where::kNowhere)
                 Unavailable(request, "the state service does not answer");
               else
@@ -133,25 +159,24 @@
       });
 }
 
-void FrontDesk::LookUp(const std::string& id,
+void FrontDesk::LookUp(StateLane lane, const std::string& id,
                        std::function<void(Where)> found) {
-  context_->Get(StateLane::kUser, keys::Live(id),
-                [this, id, found](const StateResult& got) {
-                  if (got.outcome == Outcome::kOk && !got.items.empty()) {
-                    directory_->LearnLive(id, got.items[0].version,
-                                          got.items[0].value);
-                    found(Where::kLive);
-                  } else if (got.outcome == Outcome::kConflict) {
-                    ReadFinal(id, found);
-                  } else {
-                    found(Where::kNoAnswer);
-                  }
-                });
+  context_->Get(
+      lane, keys::Live(id), [this, lane, id, found](const StateResult& got) {
+        if (got.outcome == Outcome::kOk && !got.items.empty()) {
+          directory_->LearnLive(id, got.items[0].version, got.items[0].value);
+          found(Where::kLive);
+        } else if (got.outcome == Outcome::kConflict) {
+          ReadFinal(lane, id, found);
+        } else {
+          found(Where::kNoAnswer);
+        }
+      });
 }
 
-void FrontDesk::ReadFinal(const std::string& id,
+void FrontDesk::ReadFinal(StateLane lane, const std::string& id,
                           std::function<void(Where)> found) {
-  context_->Get(StateLane::kUser, keys::Final(id),
+  context_->Get(lane, keys::Final(id),
                 [this, id, found](const StateResult& got) {
                   FinalState state;
                   if (got.outcome == Outcome::kOk && !got.items.empty() &&
@@ -167,17 +192,20 @@
 }
 
 // The job is no longer live: how it ended is read and told.
-void FrontDesk::TellFinal(uint64_t request, const std::string& id) {
-  ReadFinal(id, [this, request, id](Where where) {
-    if (where == Where::kFinal)
-      AnswerState(request, 200, id);
-    else
-      Unavailable(request, "the state service does not answer");
+void FrontDesk::TellFinal(StateLane lane, std::vector<uint64_t> requests,
+                          const std::string& id) {
+  ReadFinal(lane, id, [this, requests = std::move(requests), id](Where where) {
+    for (const uint64_t request : requests) {
+      if (where == Where::kFinal)
+        AnswerState(request, 200, id);
+      else
+        Unavailable(request, "the state service does not answer");
+    }
   });
 }
 
 void FrontDesk::Poll(uint64_t request, const std::string& id) {
-  if (!Admit(request, kPollAnswerS)) return;
+  if (!Admit(request, Kind::kPoll)) return;
   if (!wire::ValidJobId(id)) {
     Answer(request, 404, wire::EncodeError("no such job"));
     return;
@@ -188,11 +216,15 @@
   }
   if (directory_->FindLive(id)) {
     // Another controller may have told a later state: checked before telling.
-    if (checks_.empty()) check_at_ = context_->now + kCheckBatchS;
+    if (checks_.empty()) check_at_ = context_->now + check_every_s_;
     checks_.push_back({request, id});
     return;
   }
-  LookUp(id, [this, request, id](Where where) {
+  if (!MayLookUp()) {
+    Busy(request, "too many jobs that are not known here are asked for");
+    return;
+  }
+  LookUp(StateLane::kPoll, id, [this, request, id](Where where) {
     if (where == Where::kNoAnswer)
       Unavailable(request, "the state service does not answer");
     else if (where == Where::kNowhere)
@@ -226,15 +258,16 @@
     batch.push_back(std::move(waiting));
   }
   checks_ = std::move(rest);
-  check_at_ = context_->now + kCheckBatchS;
+  check_at_ = context_->now + check_every_s_;
   if (guards.empty()) return;
   ++checks_sent_;
   context_->Transact(
-      StateLane::kUser, std::move(guards), {},
+      StateLane::kPoll, std::move(guards), {},
       [this, batch = std::move(batch)](const StateResult& result) {
         --checks_sent_;
         const std::set<std::string> failed(result.failed.begin(),
                                            result.failed.end());
+        std::map<std::string, std::vector<uint64_t>> ended;
         for (const Waiting& waiting : batch) {
           const auto& [request, id] = waiting;
           if (result.outcome == Outcome::kOk ||
@@ -242,16 +275,19 @@
                !failed.count(keys::Live(id)))) {
             AnswerState(request, 200, id);
           } else if (result.outcome == Outcome::kConflict) {
-            TellFinal(request, id);
+            ended[id].push_back(request);
           } else {
             Unavailable(request, "the state service does not answer");
           }
         }
+        // However many ask for it, a job's end is read once.
+        for (auto& [id, requests] : ended)
+          TellFinal(StateLane::kPoll, std::move(requests), id);
       });
 }
 
 void FrontDesk::Cancel(uint64_t request, const std::string& id) {
-  if (!Admit(request, kSubmitAnswerS)) return;
+  if (!Admit(request, Kind::kChange)) return;
   if (!wire::ValidJobId(id)) {
     Answer(request, 404, wire::EncodeError("no such job"));
     return;
@@ -264,7 +300,7 @@
     CancelLive(request, id);
     return;
   }
-  LookUp(id, [this, request, id](Where where) {
+  LookUp(StateLane::kUser, id, [this, request, id](Where where) {
     if (where == Where::kLive && directory_->FindLive(id))
       CancelLive(request, id);
     else if (where == Where::kFinal || where == Where::kLive)
@@ -288,7 +324,7 @@
           directory_->LearnFinal(id, FinalState::kCancelled);
           AnswerState(request, 200, id);
         } else if (result.outcome == Outcome::kConflict) {
-          TellFinal(request, id);
+          TellFinal(StateLane::kUser, {request}, id);
         } else {
           Unavailable(request, "the cancellation could not be recorded");
         }
--- a/src/core/front_desk.h
+++ b/src/core/front_desk.h
@@ -32,7 +32,11 @@
     std::string id;
   };
 
-  bool Admit(uint64_t request, double answer_within_s);
+  enum class Kind { kPoll, kChange };
+  bool Admit(uint64_t request, Kind kind);
+  void Busy(uint64_t request, const std::string& why);
+  // Whether a job that is not known here may be looked up for a poll now.
+  bool MayLookUp();
   void Answer(uint64_t request, int status, std::string body,
               double retry_after_s = 0);
   void AnswerState(uint64_t request, int status, const std::string& id);
@@ -43,9 +47,12 @@
   // Reads live key, then final key, and calls `found` with what there is: the
   // job moves from the first to the second, so this order misses nothing.
   enum class Where { kLive, kFinal, kNowhere, kNoAnswer };
-  void LookUp(const std::string& id, std::function<void(Where)> found);
-  void ReadFinal(const std::string& id, std::function<void(Where)> found);
-  void TellFinal(uint64_t request, const std::string& id);
+  void LookUp(StateLane lane, const std::string& id,
+              std::function<void(Where)> found);
+  void ReadFinal(StateLane lane, const std::string& id,
+                 std::function<void(Where)> found);
+  void TellFinal(StateLane lane, std::vector<uint64_t> requests,
+                 const std::string& id);
   void CancelLive(uint64_t request, const std::string& id);
   void Check();
 
@@ -53,9 +60,16 @@
   Directory* directory_;
   const ClusterSettings* settings_;
   std::vector<MachineType> types_;
-  std::map<uint64_t, double> open_;  // request -> when it is given up
-  std::vector<Waiting> checks_;      // polls that wait for the next check
+  struct Open {
+    Kind kind = Kind::kPoll;
+    double until = 0;  // then it is given up
+  };
+  std::map<uint64_t, Open> open_;  // by request
+  size_t open_polls_ = 0;
+  double look_ups_ = 0, look_ups_at_ = 0;  // that polls may cause now
+  std::vector<Waiting> checks_;            // polls that wait for the next check
   double check_at_ = 0;
+  double check_every_s_ = 0;
   int checks_sent_ = 0;
 };
 
--- a/src/core/leadership.cc
+++ b/src/core/leadership.cc
@@ -21,10 +21,8 @@
 
 Guard Leadership::guard() const { return Guard{keys::kLeader, version_}; }
 
-bool Leadership::MayLaunch() const {
-  return leading_ && context_->now < confirmed_at_ +
-                                         kLeaderLeaseS * (1 - kClockDrift) -
-                                         kLeaseMarginS;
+double Leadership::launch_until() const {
+  return confirmed_at_ + kLeaderLeaseS * (1 - kClockDrift) - kLeaseMarginS;
 }
 
 bool Leadership::MayAnswer() const {
@@ -72,8 +70,18 @@
     Renew();
     return;
   }
+  if (!directory_->leader_known() || directory_->leader_version() != 0)
+    absent_since_ = 0;
+  else if (absent_since_ == 0)
+    absent_since_ = context_->now;
   if (campaigning_ || !directory_->loaded() || context_->now < retry_at_)
     return;
+  // It heard few machines a short while ago: the others go first. Guards
+  // against the lead coming back to a node that is still cut off when the next
+  // leader fails.
+  if (absent_since_ > 0 && context_->now < next_abdication_ &&
+      context_->now < absent_since_ + kShyPauseS)
+    return;
   if (directory_->leader_version() == 0)
     Campaign();
   else if (directory_->leader().node == node_)
--- a/src/core/leadership.h
+++ b/src/core/leadership.h
@@ -24,7 +24,8 @@
 
   // Nobody else can lead yet: launches may leave. Guards against a leader that
   // was cut off and goes on placing.
-  bool MayLaunch() const;
+  bool MayLaunch() const { return leading_ && context_->now < launch_until(); }
+  double launch_until() const;  // (steady clock, s)
   // The workers may be kept (their reports answered): guards against both
   // losing all work in an outage and keeping work that a user was told is
   // cancelled.
@@ -59,6 +60,7 @@
   bool renewing_ = false;
   double next_renewal_ = 0;
   double next_abdication_ = 0;
+  double absent_since_ = 0;  // the leader key, as seen here; 0: it is there
   double confirmed_at_ = 0;  // when the last renewal that succeeded was sent
 };
 
--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -24,7 +24,7 @@
 struct Placed {
   uint64_t attempt = 0;
   double cpus = 0, gpus = 0, memory_gb = 0;
-  std::string team, image;
+  std::shared_ptr<const LiveJob> record;
   PlacedPhase phase = PlacedPhase::kAssigned;
   uint64_t sent_session = 0, sent_sequence = 0;
   double sent_at = 0;
@@ -44,6 +44,7 @@
   std::string type_name, zone;
   bool spot = false;
   double rented_at = 0;
+  double came_up_at = 0;  // its first report; 0: not seen by this leader
 
   bool recorded = false;  // its record is committed: launches may go there
   bool recording = false;
@@ -74,8 +75,8 @@
   double notice_until = 0;    // the cloud takes it then; 0: no notice
   double idle_since = 0;      // 0: not idle
   double refused_until = 0;
-  // Set aside for jobs that may be at fault themselves: kept until then, so that
-  // they are tried elsewhere first. 0: it is at fault.
+  // Set aside for jobs that may be at fault themselves: kept until then, so
+  // that they are tried elsewhere first. 0: it is at fault.
   double doubted_until = 0;
   // Errors since something last completed there, by job.
   std::map<std::string, int> errors;
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -105,8 +105,7 @@
   placed.cpus = spec.cpus;
   placed.gpus = spec.gpus;
   placed.memory_gb = spec.memory_gb;
-  placed.team = spec.team;
-  placed.image = spec.image;
+  placed.record = job->record;
   placed.speculative = !machine->base && !job->rented.Contains(task);
   job->waiting.erase(task);
   jobs_->Place(job, task, machine->name, machine->zone);
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -50,7 +50,8 @@
   machines_.Clear();
   progress_.clear();
   progress_keys_.clear();
-  unfinished_writes_.clear();
+  unwritten_.clear();
+  complete_.clear();
   unknown_tasks_.clear();
 }
 
@@ -165,7 +166,7 @@
       job->committed.Add(task);
     }
   }
-  if (job->done.size() == job->spec().tasks) unfinished_writes_.insert(id);
+  if (job->done.size() == job->spec().tasks) complete_.push_back(id);
 }
 
 void Scheduler::JobEnded(const std::string& id, FinalState) {
@@ -189,7 +190,7 @@
       writer_.Remove(keys::Progress(id, chunk));
     progress_keys_.erase(keys);
   }
-  unfinished_writes_.erase(id);
+  unwritten_.erase(id);
   jobs_.Remove(id);
 }
 
@@ -262,6 +263,7 @@
                      bool direct) {
   if (!machine->ever_reported) {
     machine->ever_reported = true;
+    machine->came_up_at = context_->now;
     machine->rented_at = std::min(machine->rented_at, context_->now);
   }
   machine->last_heard = context_->now;
@@ -393,8 +395,7 @@
   placed.cpus = job->spec().cpus;
   placed.gpus = job->spec().gpus;
   placed.memory_gb = job->spec().memory_gb;
-  placed.team = job->spec().team;
-  placed.image = job->spec().image;
+  placed.record = job->record;
   placed.phase = PlacedPhase::kPresent;
   placed.state = task.state;
   placed.running_since = task.state == TaskState::kRunning ? context_->now : 0;
@@ -454,7 +455,7 @@
   if (job && placed.job_live)
     jobs_.Unplace(job, key.second, machine->zone);
   else
-    jobs_.AddStray(placed.team, -placed.cpus, -placed.gpus);
+    jobs_.AddStray(placed.record->spec.team, -placed.cpus, -placed.gpus);
 }
 
 void Scheduler::DropAll(Machine* machine) {
@@ -481,7 +482,10 @@
   job->retry_at = 0;
   for (const std::string& name : failed_on)
     if (Machine* other = machines_.Find(name)) Judge(other);
-  unfinished_writes_.insert(job->id());
+  if (job->done.size() == job->spec().tasks)
+    complete_.push_back(job->id());
+  else
+    unwritten_.insert(job->id());
   // Its result is kept: another attempt of it, if there is one, is of no use.
   auto elsewhere = job->placed.find(task);
   if (elsewhere == job->placed.end()) return;
@@ -649,7 +653,7 @@
     return;
   }
   writer_.Tick();
-  fleet_.Tick(leadership_->MayLaunch());
+  fleet_.Tick(leadership_->MayLaunch(), leadership_->launch_until());
   if (context_->now >= next_write_) {
     next_write_ = context_->now + kFinishBatchS;
     WriteFinished();
@@ -677,6 +681,17 @@
   }
 }
 
+// What the machines said meanwhile was not heard, and nothing was asked of
+// them: the gap is ours. Guards against taking it for their silence. Their
+// leases ran on, so when they were last answered stays.
+void Scheduler::Stalled(double gap_s) {
+  for (auto& [name, machine] : machines_.all()) {
+    machine->last_heard += gap_s;
+    machine->reached_at += gap_s;
+    machine->unproved_since += gap_s;
+  }
+}
+
 void Scheduler::CountUnaccounted() {
   if (!unaccounted_stale_) return;
   unaccounted_stale_ = false;
@@ -801,18 +816,14 @@
 // -----------------------------------------------------------------------
 
 void Scheduler::WriteFinished() {
-  std::vector<std::string> handled;
-  for (const std::string& id : unfinished_writes_) {
+  while (!complete_.empty() && writer_.AllowsEnd()) {
+    Job* job = jobs_.Find(complete_.front());
+    complete_.pop_front();
+    if (job && !job->finishing) Finish(job);
+  }
+  for (const std::string& id : unwritten_) {
     Job* job = jobs_.Find(id);
-    if (!job || job->finishing) {
-      if (!job) handled.push_back(id);
-      continue;
-    }
-    if (job->done.size() == job->spec().tasks) {
-      if (writer_.Allows(2)) Finish(job);
-      continue;
-    }
-    if (!writer_.Allows(1)) break;
+    if (!job || job->done.size() == job->spec().tasks) continue;
     const uint32_t chunks =
         (job->spec().tasks + kTasksPerProgressKey - 1) / kTasksPerProgressKey;
     for (uint32_t chunk = 0; chunk < chunks; ++chunk) {
@@ -841,9 +852,8 @@
                 if (!written->committed.Contains(n)) written->committed.Add(n);
           });
     }
-    handled.push_back(id);
   }
-  for (const std::string& id : handled) unfinished_writes_.erase(id);
+  unwritten_.clear();
 }
 
 // The end of a job: its live key goes and its final key comes, together.
@@ -854,15 +864,18 @@
   std::vector<StateOp> ops = {
       {true, keys::Live(id), "", 0},
       {false, keys::Final(id), wire::EncodeFinal(FinalState::kDone), 0}};
-  writer_.Commit(
+  writer_.CommitEnd(
       {{keys::Live(id), job->version}}, std::move(ops),
       [this, id](const StateResult& result) {
         if (result.outcome == Outcome::kOk) {
           directory_->LearnFinal(id, FinalState::kDone);
           return;
         }
-        if (Job* unfinished = jobs_.Find(id)) unfinished->finishing = false;
-        if (result.outcome != Outcome::kConflict) return;  // tried again
+        if (Job* unfinished = jobs_.Find(id)) {
+          unfinished->finishing = false;
+          complete_.push_back(id);  // tried again
+        }
+        if (result.outcome != Outcome::kConflict) return;
         // Cancelled, or an earlier try was carried out: the final key tells.
         context_->Get(StateLane::kLeader, keys::Final(id),
                       [this, id](const StateResult& got) {
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -2,6 +2,7 @@
 // finished, and deals with what fails.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -27,6 +28,8 @@
   void Elected();
   void Deposed();
   void Tick();
+  // The process stood still for so long.
+  void Stalled(double gap_s);
   void LearnCatalog(const std::vector<MachineType>& types);
   void JobAppeared(const std::string& id);
   void JobEnded(const std::string& id, FinalState state);
@@ -98,7 +101,9 @@
   std::map<std::string, IntervalSet> progress_;  // while loading
   // Progress keys that exist, so that the end of a job removes them.
   std::map<std::string, std::set<uint32_t>> progress_keys_;
-  std::set<std::string> unfinished_writes_;  // jobs with unwritten completions
+  std::set<std::string> unwritten_;  // jobs with unwritten completions
+  std::deque<std::string>
+      complete_;  // jobs whose end is to be written, in turn
   std::map<std::string, uint64_t> unknown_tasks_;  // machine -> tasks of no job
   bool unaccounted_stale_ = true;
 };
--- a/src/core/writer.cc
+++ b/src/core/writer.cc
@@ -30,6 +30,18 @@
 void Writer::Commit(std::vector<Guard> guards, std::vector<StateOp> ops,
                     StateCallback done) {
   tokens_ -= static_cast<double>(ops.size());
+  Transact(std::move(guards), std::move(ops), std::move(done));
+}
+
+void Writer::CommitEnd(std::vector<Guard> guards, std::vector<StateOp> ops,
+                       StateCallback done) {
+  (end_tokens_ >= kEndOps ? end_tokens_ : tokens_) -=
+      static_cast<double>(ops.size());
+  Transact(std::move(guards), std::move(ops), std::move(done));
+}
+
+void Writer::Transact(std::vector<Guard> guards, std::vector<StateOp> ops,
+                      StateCallback done) {
   guards.push_back(leadership_->guard());
   context_->Transact(StateLane::kLeader, std::move(guards), std::move(ops),
                      [this, done = std::move(done),
@@ -47,8 +59,13 @@
 
 void Writer::Tick() {
   const double rate = settings_->state_write_rps * kWriteShare;
-  tokens_ = std::min(rate, tokens_ + (context_->now - refilled_at_) * rate);
+  const double gain = (context_->now - refilled_at_) * rate / 2;
   refilled_at_ = context_->now;
+  // What ends of jobs leave of their half is there for the rest.
+  end_tokens_ += gain;
+  const double left = std::max(0.0, end_tokens_ - rate / 2);
+  end_tokens_ -= left;
+  tokens_ = std::min(rate, tokens_ + gain + left);
   while (!(urgent_.empty() && order_.empty()) && in_flight_ < 1 &&
          context_->now >= next_send_ && tokens_ >= 1)
     Send();
--- a/src/core/writer.h
+++ b/src/core/writer.h
@@ -35,8 +35,16 @@
   // A transaction of its own, tried once.
   void Commit(std::vector<Guard> guards, std::vector<StateOp> ops,
               StateCallback done);
-  // Whether `ops` more changes fit under the rate now.
-  bool Allows(size_t ops) const { return tokens_ >= static_cast<double>(ops); }
+  // Whether the end of one more job fits under the rate now. Ends have half of
+  // the rate to themselves: guards against the progress of running arrays
+  // keeping users from hearing that their jobs are done.
+  bool AllowsEnd() const {
+    return end_tokens_ >= kEndOps ||
+           (tokens_ >= kEndOps && urgent_.empty() && order_.empty());
+  }
+  // The end of a job: kEndOps changes, or a few more.
+  void CommitEnd(std::vector<Guard> guards, std::vector<StateOp> ops,
+                 StateCallback done);
 
   void Tick();
   void Clear();
@@ -50,6 +58,8 @@
   void Line(const std::string& key, bool urgent) {
     (urgent ? urgent_ : order_).push_back(key);
   }
+  void Transact(std::vector<Guard> guards, std::vector<StateOp> ops,
+                StateCallback done);
   void Send();
   void Read(const std::string& key);
   void Queue(const std::string& key, Entry entry);
@@ -63,7 +73,9 @@
   std::set<std::string> uncertain_;  // to be read before the next write
   int in_flight_ = 0;
   uint64_t generation_ = 0;  // results of an earlier term are ignored
-  double tokens_ = 0, refilled_at_ = 0, next_send_ = 0;
+  static constexpr double kEndOps =
+      2;  // the live key goes, the final one comes
+  double tokens_ = 0, end_tokens_ = 0, refilled_at_ = 0, next_send_ = 0;
 };
 
 }  // namespace sorrelwood
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -248,7 +248,8 @@
   EXPECT_EQ(MostThreads(settings), static_cast<size_t>(kMostThreads));
   settings.sockets = 900;
   settings.memory_mib = 56;
-  EXPECT_GT(MostThreads(settings), kMaxWaitingRequests / kUserThreadShare);
+  EXPECT_GT(MostThreads(settings),
+            (kMaxWaitingPolls + kMaxWaitingChanges) / kUserThreadShare);
   std::string small = kSettings;
   small.replace(small.find("72.0"), 4, "20.0");
   EXPECT_FALSE(ParseClusterSettings(small, &settings, &error));
