Room is made for guarantees, and kept from long work beyond them

Ruled out: a takeover (none before 209 s), the order of the queue (guaranteed work did go first, it did not fit), jobs that fail. Now work beyond a guarantee that runs longer than a boot keeps off machines that owed work could run on, and what runs beyond a guarantee and can save is stopped as far as others are owed room.

--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -650,13 +650,6 @@
   EmptySurplus(up);
 }
 
-bool Fleet::Movable(const TaskKey& key, const Placed& placed) const {
-  const Job* job = jobs_->Find(key.first);
-  return job && !placed.stop && placed.running_since > 0 &&
-         context_->now - placed.running_since > kMoveAfterS &&
-         job->spec().checkpoint_s > 0 && job->spec().save_s <= kMoveSaveS;
-}
-
 // Moves what can save its progress off surplus machines, when all that is on
 // one can and the others have the room now: the dear ones whatever they hold,
 // the rest once they are half empty.
@@ -675,7 +668,7 @@
     if (needed > room ||
         !std::all_of(
             machine->tasks.begin(), machine->tasks.end(),
-            [&](const auto& item) { return Movable(item.first, item.second); }))
+            [&](const auto& item) { return placement_->Movable(item.second); }))
       continue;
     room -= needed;
     for (auto& [key, placed] : machine->tasks) {
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -110,8 +110,6 @@
   static double PricePerCore(const Machine& machine);
   void ChooseBase();
   void ChooseSurplus();
-  // It has run long enough and can save its progress soon.
-  bool Movable(const TaskKey& key, const Placed& placed) const;
   void EmptySurplus(const std::vector<Machine*>& first);
   void ReturnIdle();
   void SendReturns();
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -191,7 +191,8 @@
 
 Machine* Placement::BestFit(const Job& job,
                             const std::vector<Machine*>& candidates,
-                            bool owned_only) const {
+                            bool owned_only,
+                            const std::vector<const Job*>& owed) const {
   Machine* best = nullptr;
   std::tuple<bool, bool, double, bool, bool, double, bool> best_rank;
   const bool at_once = StartsAtOnce(job);
@@ -199,7 +200,7 @@
   for (Machine* machine : candidates) {
     if (owned_only && !machine->base) continue;
     if (!machine->Fits(job.spec()) || !Allowed(job, *machine) ||
-        !LeavesReserves(job, *machine))
+        !LeavesReserves(job, *machine) || KeptFor(owed, job, *machine))
       continue;
     // The image decides between equals, and before the fit where its fetch is
     // long beside the task. What is to start at once goes where its image is,
@@ -278,13 +279,15 @@
   if (candidates.empty()) return;
   Sample(front, &candidates);
   // First every team up to its guarantee, then whoever is next.
+  std::vector<const Job*> owed;
   for (const bool guaranteed : {true, false}) {
+    if (!guaranteed) owed = Owed(front);
     for (Job* job : front) {
       for (const bool owned : {true, false}) {
         // The best fit stays the best until it is full.
         while (NextTask(*job, owned) && WithinQuota(*job) &&
                (!guaranteed || GoesFirst(*job))) {
-          Machine* machine = BestFit(*job, candidates, owned);
+          Machine* machine = BestFit(*job, candidates, owned, owed);
           if (!machine || !Put(job, owned, guaranteed, machine, term)) break;
         }
       }
@@ -299,8 +302,11 @@
   if (front.empty()) return;
   if (reserves_stale_) MeasureReserves();
   Recount(machine);
+  std::vector<const Job*> owed;
   for (const bool guaranteed : {true, false}) {
+    if (!guaranteed) owed = Owed(front);
     for (Job* job : front) {
+      if (KeptFor(owed, *job, *machine)) continue;
       for (const bool owned : {true, false}) {
         if (owned && !machine->base) continue;
         Put(job, owned, guaranteed, machine, term);
@@ -326,4 +332,116 @@
   return any;
 }
 
+std::vector<const Job*> Placement::Owed(const std::vector<Job*>& front) const {
+  std::vector<const Job*> owed;
+  for (const Job* job : front)
+    if (GoesFirst(*job) && WithinQuota(*job) && NextTask(*job, false))
+      owed.push_back(job);
+  return owed;
+}
+
+bool Placement::CouldHold(const Machine& machine, const Job& job) const {
+  return machine.type && Allowed(job, machine) &&
+         job.spec().cpus <= machine.type->cpus &&
+         job.spec().gpus <= machine.type->gpus &&
+         job.spec().memory_gb <= machine.type->memory_gb;
+}
+
+bool Placement::KeptFor(const std::vector<const Job*>& owed, const Job& job,
+                        const Machine& machine) const {
+  if (owed.empty() || !machine.type || GoesFirst(job) ||
+      jobs_->Estimate(job.spec()) <= machine.type->boot_s)
+    return false;
+  return std::any_of(owed.begin(), owed.end(), [&](const Job* waiting) {
+    return waiting != &job && CouldHold(machine, *waiting);
+  });
+}
+
+bool Placement::Movable(const Placed& placed) const {
+  const JobSpec& spec = placed.record->spec;
+  return placed.job_live && !placed.stop && placed.running_since > 0 &&
+         context_->now - placed.running_since > kMoveAfterS &&
+         spec.checkpoint_s > 0 && spec.save_s <= kMoveSaveS;
+}
+
+void Placement::MakeRoom() {
+  const std::vector<Job*> front = Front();
+  const std::vector<const Job*> owed = Owed(front);
+  if (owed.empty()) return;
+  std::map<std::string, double> beyond, due;  // CPUs, by team
+  for (const Team& team : settings_->teams) {
+    const double use = jobs_->use(team.name).cpus;
+    beyond[team.name] = use - team.cpus;
+    due[team.name] = team.cpus - use;
+  }
+  struct Room {
+    Machine* machine = nullptr;
+    double cpus = 0, memory_gb = 0;  // free, or about to be
+    std::vector<Placed*> could_stop;
+  };
+  std::vector<Room> rooms;
+  context_->work += machines_->all().size();
+  for (auto& [name, machine] : machines_->all()) {
+    if (!Usable(*machine) || !machine->type) continue;
+    Room room{machine.get(),
+              machine->cpus_free(),
+              machine->type->memory_gb - machine->memory_used,
+              {}};
+    for (auto& [key, placed] : machine->tasks) {
+      if (placed.stop) {
+        room.cpus += placed.cpus;
+        room.memory_gb += placed.memory_gb;
+      } else if (beyond[placed.record->spec.team] >= placed.cpus &&
+                 Movable(placed)) {
+        room.could_stop.push_back(&placed);
+      }
+    }
+    rooms.push_back(std::move(room));
+  }
+  for (const Job* job : owed) {
+    const JobSpec& spec = job->spec();
+    const auto fits = [&](const Room& room) {
+      return spec.cpus <= room.cpus && spec.memory_gb <= room.memory_gb;
+    };
+    double& left = due[spec.team];
+    double count = job->pending.size();
+    const auto wanted = [&] {
+      return count >= 1 && left >= std::max(spec.cpus, 1e-6);
+    };
+    // Room that is free, or coming free, is counted before any is made.
+    for (const bool make : {false, true}) {
+      for (Room& room : rooms) {
+        if (!wanted()) break;
+        if (!CouldHold(*room.machine, *job)) continue;
+        if (make) {
+          double cpus = room.cpus, memory_gb = room.memory_gb;
+          for (const Placed* placed : room.could_stop) {
+            cpus += placed->cpus;
+            memory_gb += placed->memory_gb;
+          }
+          if (spec.cpus > cpus || spec.memory_gb > memory_gb) continue;
+        }
+        for (;;) {
+          while (make && !fits(room) && !room.could_stop.empty()) {
+            Placed* placed = room.could_stop.back();
+            room.could_stop.pop_back();
+            double& over = beyond[placed->record->spec.team];
+            if (over < placed->cpus) continue;
+            over -= placed->cpus;
+            placed->stop = true;
+            placed->stop_grace_s = placed->record->spec.save_s + 1;
+            room.cpus += placed->cpus;
+            room.memory_gb += placed->memory_gb;
+          }
+          if (!wanted() || !fits(room)) break;
+          room.cpus -= spec.cpus;
+          room.memory_gb -= spec.memory_gb;
+          left -= spec.cpus;
+          count -= 1;
+        }
+      }
+    }
+  }
+}
+
 }  // namespace sorrelwood
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -51,6 +51,12 @@
 
   void Assign(Job* job, uint32_t task, Machine* machine, uint64_t term);
 
+  // Stops what teams run beyond their guarantee, as far as others wait for
+  // theirs and it can save its progress.
+  void MakeRoom();
+  // It has run long enough and can save its progress soon.
+  bool Movable(const Placed& placed) const;
+
  private:
   // Room kept free for classes that are to start at once.
   struct Reserve {
@@ -78,11 +84,18 @@
   void Sample(const std::vector<Job*>& front,
               std::vector<Machine*>* candidates);
   Machine* BestFit(const Job& job, const std::vector<Machine*>& candidates,
-                   bool owned_only) const;
+                   bool owned_only, const std::vector<const Job*>& owed) const;
   // Fetching the job's image there is long beside a task's run time.
   bool LongFetch(const Job& job, const Machine& machine) const;
   bool Put(Job* job, bool owned, bool guaranteed, Machine* machine,
            uint64_t term);
+  // Jobs of the front that are still owed room by their team's guarantee.
+  std::vector<const Job*> Owed(const std::vector<Job*>& front) const;
+  // Guards against long work beyond a guarantee taking, core by core, the room
+  // that larger tasks within one are waiting to fit.
+  bool KeptFor(const std::vector<const Job*>& owed, const Job& job,
+               const Machine& machine) const;
+  bool CouldHold(const Machine& machine, const Job& job) const;
 
   Context* context_;
   JobTable* jobs_;
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -661,6 +661,7 @@
   if (context_->now >= next_policy_) {
     next_policy_ = context_->now + 1;
     waiting_.Tick();
+    if (leadership_->MayLaunch()) placement_.MakeRoom();
   }
   if (context_->now >= next_silence_) {
     next_silence_ = context_->now + 0.5;
