--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -421,7 +421,7 @@
           }
           if (spec.cpus > cpus || spec.memory_gb > memory_gb) continue;
         }
-        for (;;) {
+        while (wanted()) {
           while (make && !fits(room) && !room.could_stop.empty()) {
             Placed* placed = room.could_stop.back();
             room.could_stop.pop_back();
@@ -433,7 +433,7 @@
             room.cpus += placed->cpus;
             room.memory_gb += placed->memory_gb;
           }
-          if (!wanted() || !fits(room)) break;
+          if (!fits(room)) break;
           room.cpus -= spec.cpus;
           room.memory_gb -= spec.memory_gb;
           left -= spec.cpus;
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <set>
 
@@ -25,7 +26,9 @@
     policy_.base_share = base_share;
     settings_.node = "node-0";
     settings_.siblings = {{"node-1", "a", "10.0.0.2:1"}};
-    settings_.teams = {{"team", 10000, 20000, 0, 0}, {"other", 10, 100, 0, 0}};
+    settings_.teams = {{"team", 10000, 20000, 0, 0},
+                       {"other", 10, 100, 0, 0},
+                       {"guests", 0, kNoLimit, 0, kNoLimit}};
     settings_.report_s = report_s;
     settings_.objectives = {{"wait", "urgent", 3, 1}};
     controller_ = std::make_unique<Controller>(settings_, policy_, 5);
@@ -52,6 +55,10 @@
     job.spec.image = image;
     job.spec.spot = true;
     job.spec.estimate_s = 30;
+    if (team == "guests") {
+      job.spec.checkpoint_s = 10;
+      job.spec.save_s = 1;
+    }
     job.submitted_wall_s = 1e6 + now_;
     keys_[keys::Live(id)] = {wire::EncodeLiveJob(job), ++revision_};
     news_.push_back({keys::Live(id), keys_[keys::Live(id)].first, revision_});
@@ -83,6 +90,37 @@
     return answer_;
   }
 
+  // The process stands still: the clock goes on, nothing is heard.
+  void StandStill(double seconds) { now_ += seconds; }
+  void SetLeader(const std::string& node, uint64_t term) {
+    keys_[keys::kLeader] = {wire::EncodeLeader({node, term}), ++revision_};
+    news_.push_back({keys::kLeader, keys_[keys::kLeader].first, revision_});
+  }
+  void RemoveLeader() {
+    keys_.erase(keys::kLeader);
+    news_.push_back({keys::kLeader, "", ++revision_});
+  }
+  bool leading() { return controller_->Measure().leading; }
+  double now() const { return now_; }
+  // The last release that was asked for, and by when it must have left.
+  double release_not_after = 0;
+  // Machines that a rental brings, one each; none: there is no capacity.
+  std::deque<std::string> to_rent;
+  AnswerUser Ask(bool submit, const std::string& id) {
+    user_answer_ = AnswerUser{0, 0, "", 0};
+    JobSpec spec;
+    spec.id = id;
+    spec.team = "team";
+    spec.tasks = 1;
+    spec.cpus = 1;
+    Handle(submit ? controller_->Submit(Time(), ++request_, spec)
+                  : controller_->Poll(Time(), ++request_, id));
+    return user_answer_;
+  }
+  // The state service answers nothing that is asked for users.
+  bool users_unanswered = false;
+  int user_reads = 0;
+
   uint64_t token() { return controller_->Measure().term; }
   uint64_t most_work() const { return most_work_; }
   void ForgetWork() { most_work_ = 0; }
@@ -106,6 +144,10 @@
   void Handle(Actions actions) {
     for (Action& action : actions) {
       if (auto* answer = std::get_if<AnswerWorker>(&action)) answer_ = *answer;
+      if (auto* answer = std::get_if<AnswerUser>(&action))
+        user_answer_ = *answer;
+      if (auto* release = std::get_if<CloudRelease>(&action))
+        release_not_after = release->not_after - now_;
       if (auto* release = std::get_if<CloudRelease>(&action))
         if (!cloud_out)
           released_.insert(release->machines.begin(), release->machines.end());
@@ -137,6 +179,9 @@
     Give(result);
   }
   void Serve(const StateTransaction& t) {
+    if (users_unanswered &&
+        (t.lane == StateLane::kUser || t.lane == StateLane::kPoll))
+      return;
     for (const Guard& guard : t.guards) {
       auto it = keys_.find(guard.key);
       if ((it == keys_.end() ? 0 : it->second.second) == guard.version)
@@ -157,6 +202,8 @@
     Give(Ok(t.id));
   }
   void Serve(const StateGet& get) {
+    if (get.lane == StateLane::kPoll) ++user_reads;
+    if (users_unanswered && get.lane == StateLane::kPoll) return;
     StateResult result = Ok(get.id);
     auto it = keys_.find(get.key);
     if (it == keys_.end())
@@ -181,7 +228,7 @@
     next_watch_ = now_ + 1;
     StateResult result = Ok(watch.id);
     for (const auto& [key, value, version] : news_)
-      result.items.push_back({key, value, version, false});
+      result.items.push_back({key, value, version, value.empty()});
     news_.clear();
     Give(result);
   }
@@ -204,7 +251,19 @@
     result.types = {{"big", 16, 0, 64, 100, 1, 1, 0.4, 10, {"a"}}};
     Give(result);
   }
-  void Serve(const CloudRent& rent) { Cloud(rent.id, false); }
+  void Serve(const CloudRent& rent) {
+    CloudResult result;
+    result.id = rent.id;
+    result.outcome = Outcome::kOk;
+    for (int i = 0; i < rent.rent.count && !to_rent.empty(); ++i) {
+      result.machines.push_back(to_rent.front());
+      to_rent.pop_front();
+    }
+    if (result.machines.empty())
+      Cloud(rent.id, false);
+    else
+      Give(result);
+  }
   void Serve(const CloudRelease& release) { Cloud(release.id, !cloud_out); }
   void Serve(const CloudList& list) { Cloud(list.id, false); }
   void Cloud(uint64_t id, bool ok) {
@@ -224,6 +283,7 @@
   std::vector<std::tuple<std::string, std::string, uint64_t>> news_;
   StateWatch watch_;
   AnswerWorker answer_;
+  AnswerUser user_answer_;
   std::set<std::string> released_;
 };
 
@@ -588,5 +648,224 @@
   EXPECT_EQ(machine.Beat(&leader), 1);
 }
 
+// --- Standing still
+
+// A stop of the whole process is not the machines' silence, nor a reason to
+// leave the lead while it is still ours.
+TEST(Leader, ItsOwnStopIsNotTheMachinesSilence) {
+  Leader leader(2, 1000);
+  std::vector<Healthy> machines;
+  for (int i = 0; i < 4; ++i) machines.emplace_back("n-" + std::to_string(i));
+  leader.Run(2);
+  for (int i = 0; i < 3; ++i) {
+    for (Healthy& machine : machines) machine.Beat(&leader);
+    leader.Run(2);
+  }
+  const uint64_t token = leader.token();
+  leader.StandStill(20);
+  leader.Run(1);
+  for (Healthy& machine : machines) machine.Beat(&leader);
+  leader.Run(2);
+  EXPECT_TRUE(leader.leading());
+  EXPECT_EQ(leader.token(), token);
+  for (const Healthy& machine : machines)
+    EXPECT_FALSE(leader.Released(machine.name));
+}
+
+// What changes the fleet says by when it must have left: while nobody else can
+// lead.
+TEST(Leader, AReturnMustLeaveWithinTheLease) {
+  Leader leader(2, /*hold_s=*/1, /*base_share=*/0);
+  Healthy machine("n-1");
+  leader.Run(2);
+  for (int i = 0; i < 6; ++i) {
+    machine.Beat(&leader);
+    leader.Run(2);
+  }
+  EXPECT_TRUE(leader.Released("n-1"));
+  EXPECT_GT(leader.release_not_after, 0);
+  EXPECT_LT(leader.release_not_after, kLeaderLeaseS);
+}
+
+// --- Elections
+
+// One that heard few machines leaves the next elections to others for a while.
+TEST(Leader, OneThatHeardFewLetsOthersGoFirst) {
+  const auto pause = [](bool abdicates) {
+    Leader leader;
+    std::vector<Healthy> machines;
+    for (int i = 0; i < 4; ++i) machines.emplace_back("n-" + std::to_string(i));
+    leader.Run(2);
+    for (int i = 0; i < 3; ++i) {
+      for (Healthy& machine : machines) machine.Beat(&leader);
+      leader.Run(2);
+    }
+    if (abdicates)
+      for (int i = 0; i < 100 && leader.leading(); ++i) leader.Run(0.2);
+    EXPECT_NE(leader.leading(), abdicates);
+    leader.SetLeader("node-1", 100);
+    leader.Run(12);
+    EXPECT_FALSE(leader.leading());
+    leader.RemoveLeader();
+    const double removed = leader.now();
+    while (!leader.leading() && leader.now() < removed + 30) leader.Run(0.1);
+    return leader.now() - removed;
+  };
+  EXPECT_LT(pause(false), 1.5);
+  EXPECT_GT(pause(true), kShyPauseS);
+  EXPECT_LT(pause(true), kShyPauseS + 1.5);
+}
+
+// --- Boots
+
+// Of a batch two never come up: they are returned once another would be up
+// sooner. While none of it comes up none is given up for being late.
+TEST(Leader, GivesUpLateMachinesOnceOthersAreUp) {
+  for (const bool others_up : {true, false}) {
+    Leader leader(2, 1000);  // boots take 10 s, none is given up before 30 s
+    for (int i = 0; i < 6; ++i)
+      leader.to_rent.push_back("n-" + std::to_string(i));
+    leader.AddJob("job-000001", 96);
+    leader.Run(3);
+    ASSERT_TRUE(leader.to_rent.empty());
+    std::vector<Healthy> machines;
+    for (int i = 0; i < 4; ++i) machines.emplace_back("n-" + std::to_string(i));
+    for (int i = 0; i < 22; ++i) {
+      leader.Run(2);
+      if (others_up && i > 3)
+        for (Healthy& machine : machines) machine.Beat(&leader);
+    }
+    EXPECT_EQ(leader.Released("n-4"), others_up);
+    EXPECT_EQ(leader.Released("n-5"), others_up);
+    leader.Run(25);  // over six boots: it will not come up
+    EXPECT_TRUE(leader.Released("n-4"));
+  }
+}
+
+// --- Guarantees and guests
+
+// A guest's long tasks of one core do not take, core by core, the room that a
+// guaranteed task of eight waits for; there is room for both later.
+TEST(Leader, OwedRoomIsNotTakenCoreByCore) {
+  Leader leader(2, 1000);
+  Healthy machine("n-1");
+  leader.Run(2);
+  machine.Beat(&leader);
+  leader.Run(1);
+  machine.Beat(&leader);
+  leader.AddJob("job-000001", 16);
+  leader.Run(2);
+  EXPECT_EQ(machine.Beat(&leader), 16);
+  leader.AddJob("job-000002", 1, 8);
+  leader.AddJob("job-000003", 100, 1, "", "study", "guests");
+  const auto started = [&](const std::string& job) {
+    return std::count_if(machine.tasks.begin(), machine.tasks.end(),
+                         [&](const TaskReport& t) { return t.job == job; });
+  };
+  for (size_t ended = 0; ended < 8; ++ended) {
+    leader.Run(2);
+    EXPECT_EQ(started("job-000003"), 0);
+    machine.tasks[ended].state = TaskState::kExited;
+    machine.tasks[ended].reason = ExitReason::kDone;
+    machine.Beat(&leader);
+  }
+  EXPECT_EQ(started("job-000002"), 1);
+  for (TaskReport& task : machine.tasks)
+    if (task.job == "job-000001") {
+      task.state = TaskState::kExited;
+      task.reason = ExitReason::kDone;
+    }
+  machine.Beat(&leader);
+  EXPECT_EQ(started("job-000003"), 8);
+}
+
+// Guests have all there is; when guaranteed work comes, as much of theirs as it
+// needs is stopped, with time to save.
+TEST(Leader, MakesRoomForAGuarantee) {
+  Leader leader(2, 1000);
+  Healthy machine("n-1");
+  leader.AddJob("job-000003", 100, 1, "", "study", "guests");
+  leader.Run(2);
+  for (int i = 0; i < 20; ++i) {
+    machine.Beat(&leader);
+    leader.Run(2);
+  }
+  ASSERT_EQ(machine.tasks.size(), 16u);
+  leader.AddJob("job-000001", 3, 2);
+  leader.Run(3);
+  const AnswerWorker answer = leader.Report("n-1", 1, ++machine.sequence,
+                                            leader.token(), machine.tasks);
+  int stops = 0;
+  for (const Command& c : answer.commands)
+    if (c.kind == CommandKind::kStop) {
+      ++stops;
+      EXPECT_GE(c.grace_s, 1);
+    }
+  EXPECT_EQ(stops, 6);
+}
+
+// --- Users in a storm
+
+// Polls that the state service leaves waiting do not keep a submission out.
+TEST(Leader, AStormOfPollsLeavesRoomForSubmissions) {
+  Leader leader;
+  leader.AddJob("job-000001", 1);
+  leader.Run(3);
+  leader.users_unanswered = true;
+  int refused = 0;
+  for (int i = 0; i < 400; ++i)
+    refused += leader.Ask(false, "job-000001").status == 429;
+  EXPECT_EQ(refused, 400 - static_cast<int>(kMaxWaitingPolls));
+  EXPECT_EQ(leader.Ask(true, "job-000002").status, 0);  // it waits, accepted
+}
+
+// Questions about jobs that nobody submitted cost the state service little.
+TEST(Leader, LookUpsKeepToTheirShare) {
+  Leader leader;
+  leader.Run(3);
+  for (int second = 0; second < 10; ++second) {
+    for (int i = 0; i < 100; ++i)
+      EXPECT_NE(leader.Ask(false, "job-9" + std::to_string(10000 + i)).status,
+                200);
+    leader.Run(1);
+  }
+  const double share = 150 * kLookUpShare / 2;  // of two nodes
+  EXPECT_GT(leader.user_reads, 10);
+  EXPECT_LE(leader.user_reads, 2 * 11 * share);  // two reads each
+}
+
+// However many arrays write down their progress, jobs end.
+TEST(Writer, EndsOfJobsAreNotKeptByProgress) {
+  Context context(1);
+  Directory directory(&context);
+  Leadership leadership(&context, &directory, "node-0", 14, 39);
+  ClusterSettings settings;
+  Writer writer(&context, &leadership, &settings);
+  int ends = 0, progress = 0;
+  for (int tick = 0; tick < 250; ++tick) {
+    context.now = 100 + 0.04 * tick;
+    for (int i = 0; i < 100; ++i)
+      writer.Put(keys::Progress("job-" + std::to_string(i), 0), "{}");
+    writer.Tick();
+    for (; writer.AllowsEnd(); ++ends)
+      writer.CommitEnd({}, {{true, "a", "", 0}, {true, "b", "", 0}},
+                       [](const StateResult&) {});
+    for (const Action& action : std::exchange(context.out, {})) {
+      const auto* sent = std::get_if<StateTransaction>(&action);
+      if (!sent) continue;
+      if (sent->ops.front().key != "a")
+        progress += static_cast<int>(sent->ops.size());
+      StateResult result;
+      result.id = sent->id;
+      result.outcome = Outcome::kOk;
+      context.Deliver(result);
+    }
+  }
+  const double rate = settings.state_write_rps * kWriteShare;
+  EXPECT_GT(2 * ends, 10 * rate * 0.4);
+  EXPECT_GT(progress, 10 * rate * 0.4);
+  EXPECT_LT(2 * ends + progress, 12 * rate);
+}
+
 }  // namespace
 }  // namespace sorrelwood
