The lead is left sooner when all machines fall silent, and never in an outage

Cause: a leader cut off from the workers waited for 4.5 report intervals; hundreds of machines that fall silent together tell it after 2.5. And it left the lead also while the state service was out, when nobody could take it: workers that came back would have found no leader. Test: Leader.LeavesTheLeadSoonWhenAllFallSilent.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -26,6 +26,11 @@
 // often at most (s).
 inline constexpr double kAbdicateHeardShare = 0.35;
 inline constexpr int kAbdicateMachines = 3;
+// Of so many it leaves after so many report intervals if it hears less than
+// this share of them: each should have reported twice.
+inline constexpr int kAbdicateSoonMachines = 10;
+inline constexpr double kAbdicateSoonReports = 2.5;
+inline constexpr double kAbdicateSoonShare = 0.05;
 inline constexpr double kAbdicatePauseS = 8.0;
 inline constexpr double kAbdicateEveryS = 90.0;
 // For that long it lets the others go first in an election by so much (s): two
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -718,7 +718,8 @@
   const double lease = settings_->lease_s * (1 + kClockDrift) + 1;
   // How long an earlier leader's answers may have kept a machine's tasks.
   const double reach = elected_at_ + leadership_->answer_reach_s() + lease;
-  int silent = 0, expected = 0;
+  const double soon = kAbdicateSoonReports * settings_->report_s;
+  int silent = 0, quiet = 0, expected = 0;
   for (const auto& [name, machine] : machines_.all()) {
     Machine* m = machine.get();
     if (!m->ever_reported || !m->vouched) continue;
@@ -733,11 +734,17 @@
     }
     ++expected;
     if (m->deaf || context_->now - m->last_heard > silence) ++silent;
+    if (context_->now - m->last_heard > soon) ++quiet;
   }
   // Guards against a leader that is cut off from the workers alone: their
   // leases would run out while another controller could answer them.
-  if (expected >= kAbdicateMachines && context_->now - elected_at_ > silence &&
-      expected - silent < expected * kAbdicateHeardShare) {
+  // Many that fall silent together tell it sooner. While the state service is
+  // out nobody else could lead.
+  if (leadership_->MayLaunch() && context_->now - elected_at_ > silence &&
+      ((expected >= kAbdicateMachines &&
+        expected - silent < expected * kAbdicateHeardShare) ||
+       (expected >= kAbdicateSoonMachines &&
+        expected - quiet < expected * kAbdicateSoonShare))) {
     leadership_->Abdicate("most machines are silent");
     if (!leadership_->leading()) return;
   }
@@ -745,12 +752,12 @@
   for (auto& [name, machine] : machines_.all()) {
     Machine* m = machine.get();
     if (!m->ever_reported) continue;
-    const double quiet = context_->now - m->last_heard;
+    const double quiet_s = context_->now - m->last_heard;
     // Most show our token in their first two reports after a takeover.
     const bool stuck =
         m->inherited &&
         context_->now - elected_at_ > kTakeoverReports * settings_->report_s;
-    if ((stuck || quiet > silence) && !m->address.empty() && !m->pushing &&
+    if ((stuck || quiet_s > silence) && !m->address.empty() && !m->pushing &&
         !m->releasing && context_->now >= m->next_push)
       Push(m);
     // Whether or not it reports or is being returned: no earlier leader can
@@ -765,7 +772,7 @@
     // is deaf, or its report was a late copy.
     const bool unheard =
         !m->heard && context_->now - m->reached_at > LongSilence();
-    if (quiet <= silence && !m->deaf && !unheard) continue;
+    if (quiet_s <= silence && !m->deaf && !unheard) continue;
     // What was chosen for it but not sent goes elsewhere.
     for (auto it = m->tasks.begin(); it != m->tasks.end();) {
       auto next = std::next(it);
@@ -780,7 +787,7 @@
     }
     if ((few || !m->vouched) && (m->deaf || unheard))
       fleet_.Return(m, "it does not hear us");
-    else if (few && quiet > LongSilence())
+    else if (few && quiet_s > LongSilence())
       fleet_.Return(m, "it is silent");
     else if (context_->now > lost_at &&
              context_->now >
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -119,6 +119,8 @@
   }
   // The state service answers nothing that is asked for users.
   bool users_unanswered = false;
+  // Nor any renewal of the leader's lease.
+  bool lease_unanswered = false;
   int user_reads = 0;
 
   uint64_t token() { return controller_->Measure().term; }
@@ -243,7 +245,9 @@
     result.lease = 1;
     Give(result);
   }
-  void Serve(const LeaseRenew& renew) { Give(Ok(renew.id)); }
+  void Serve(const LeaseRenew& renew) {
+    if (!lease_unanswered) Give(Ok(renew.id));
+  }
   void Serve(const CloudCatalog& catalog) {
     CloudResult result;
     result.id = catalog.id;
@@ -716,6 +720,30 @@
   EXPECT_LT(pause(true), kShyPauseS + 1.5);
 }
 
+// All of many machines fall silent at once: the lead is left within three
+// report intervals. While the state service is out it is kept: nobody could
+// take it.
+TEST(Leader, LeavesTheLeadSoonWhenAllFallSilent) {
+  for (const bool outage : {false, true}) {
+    Leader leader;
+    std::vector<Healthy> machines;
+    for (int i = 0; i < 12; ++i)
+      machines.emplace_back("n-" + std::to_string(i));
+    leader.Run(2);
+    for (int i = 0; i < 6; ++i) {
+      leader.Run(2);
+      for (Healthy& machine : machines) machine.Beat(&leader);
+    }
+    leader.lease_unanswered = outage;
+    leader.Run(4.5);  // over two intervals since the last reports
+    EXPECT_TRUE(leader.leading());
+    leader.Run(1.5);
+    EXPECT_EQ(leader.leading(), outage);
+    leader.Run(6);
+    EXPECT_EQ(leader.leading(), outage);
+  }
+}
+
 // --- Boots
 
 // Of a batch two never come up: they are returned once another would be up
