--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -502,6 +502,19 @@
   EXPECT_EQ(Released(), 1);
 }
 
+// A failed task is tried on another machine first, which tells who is at fault.
+TEST_F(FailuresTest, AFailureIsTriedElsewhere) {
+  leader_.AddJob("job-000001", 1);
+  std::vector<std::string> tried;
+  for (int i = 0; i < 12 && tried.size() < 3; ++i)
+    Round([&](const std::string& machine, const std::string&) {
+      tried.push_back(machine);
+      return true;
+    });
+  ASSERT_EQ(tried.size(), 3u);
+  EXPECT_EQ(std::set<std::string>(tried.begin(), tried.end()).size(), 3u);
+}
+
 // One task that fails everywhere while its job succeeds is at fault itself.
 TEST_F(FailuresTest, OneBadTaskCostsNoMachine) {
   leader_.AddJob("job-100000", 1);
