--- a/tests/world.cc
+++ b/tests/world.cc
@@ -582,9 +582,9 @@
       return c.Deliver(time, result);
     });
   };
-  if (now_ < nodes_[node]->silent_until) {
-    // Held by the cut, and carried out at its end; the asker has given up.
-    At(nodes_[node]->silent_until, [this, request, node] {
+  // The asker gives up after 2 s; it is carried out all the same.
+  const auto unanswered = [&](double carried_out_at) {
+    At(carried_out_at, [this, request, node] {
       if (StateDown(node)) return;
       Serve(request);
       AnswerWatchers();
@@ -594,6 +594,9 @@
       result.id = id;
       give(result);
     });
+  };
+  if (now_ < nodes_[node]->silent_until) {  // held by the cut
+    unanswered(nodes_[node]->silent_until);
     return;
   }
   const bool lost = Random() < options_.lose;
@@ -613,16 +616,7 @@
                          : Random() < 0.05 ? 8 * Random()
                                            : 0.15 + 0.1 * Random();
   if (latency > 2.0) {
-    After(latency, [this, request, node] {
-      if (StateDown(node)) return;
-      Serve(request);
-      AnswerWatchers();
-    });
-    After(2.0, [give, id = request.id] {
-      StateResult result;
-      result.id = id;
-      give(result);
-    });
+    unanswered(now_ + latency);
     return;
   }
   After(latency, [this, request, node, lost, answer_lost, give] {
