--- /dev/null
+++ b/tests/action_digest.cc
@@ -0,0 +1,93 @@
+#include "action_digest.h"
+
+#include <variant>
+
+#include "mesh/mesh.h"
+#include "wire/json.h"
+
+namespace sorrelwood::test {
+
+void ActionDigest::Add(int node, const Action& action) {
+  if (std::holds_alternative<LogLine>(action)) return;
+  Count(node);
+  Count(action.index());
+  std::visit([this](const auto& item) { Take(item); }, action);
+}
+
+void ActionDigest::Bytes(const void* data, size_t size) {
+  constexpr uint64_t kPrime = 1099511628211ULL;
+  const auto* bytes = static_cast<const unsigned char*>(data);
+  for (size_t i = 0; i < size; ++i) hash_ = (hash_ ^ bytes[i]) * kPrime;
+}
+
+void ActionDigest::Text(const std::string& text) {
+  Count(text.size());
+  Bytes(text.data(), text.size());
+}
+
+void ActionDigest::Number(double number) { Bytes(&number, sizeof(number)); }
+
+void ActionDigest::Take(const StateTransaction& action) {
+  Count(action.id);
+  Count(static_cast<int>(action.lane));
+  Text(wire::EncodeTransaction(action));
+}
+void ActionDigest::Take(const StateGet& action) {
+  Count(action.id);
+  Count(static_cast<int>(action.lane));
+  Text(action.key);
+}
+void ActionDigest::Take(const StateList& action) {
+  Count(action.id);
+  Text(action.prefix);
+}
+void ActionDigest::Take(const StateWatch& action) {
+  Count(action.id);
+  Text(action.prefix);
+  Count(action.after);
+}
+void ActionDigest::Take(const LeaseCreate& action) {
+  Count(action.id);
+  Number(action.ttl_s);
+}
+void ActionDigest::Take(const LeaseRenew& action) {
+  Count(action.id);
+  Count(action.lease);
+}
+void ActionDigest::Take(const LeaseEnd& action) {
+  Count(action.id);
+  Count(action.lease);
+}
+void ActionDigest::Take(const CloudCatalog& action) { Count(action.id); }
+void ActionDigest::Take(const CloudRent& action) {
+  Count(action.id);
+  Text(wire::EncodeRentRecord(action.rent));
+  Number(action.not_after);
+}
+void ActionDigest::Take(const CloudRelease& action) {
+  Count(action.id);
+  Text(wire::EncodeRelease(action.machines));
+  Number(action.not_after);
+}
+void ActionDigest::Take(const CloudList& action) { Count(action.id); }
+void ActionDigest::Take(const DirectCommand& action) {
+  Count(action.id);
+  Text(action.machine);
+  Text(wire::EncodeDirectCommand(action));
+}
+void ActionDigest::Take(const AnswerUser& action) {
+  Count(action.request);
+  Count(action.status);
+  Text(action.body);
+  Number(action.retry_after_s);
+}
+void ActionDigest::Take(const AnswerWorker& action) {
+  Count(action.request);
+  Count(action.status);
+  Text(wire::EncodeWorkerAnswer(action));
+}
+void ActionDigest::Take(const MeshSend& action) {
+  Text(EncodeNote(action.note));
+}
+
+}  // namespace sorrelwood::test
--- /dev/null
+++ b/tests/action_digest.h
@@ -0,0 +1,47 @@
+// A digest of everything that cores ask for, so that a change that should not
+// change behaviour can be shown to change none.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "core/actions.h"
+
+namespace sorrelwood::test {
+
+class ActionDigest {
+ public:
+  // Takes in one action, as the node `node` returned it.
+  void Add(int node, const Action& action);
+  uint64_t value() const { return hash_; }
+
+ private:
+  void Text(const std::string& text);
+  void Number(double number);
+  template <typename Integer>
+  void Count(Integer number) {
+    Bytes(&number, sizeof(number));
+  }
+  void Bytes(const void* data, size_t size);
+
+  void Take(const StateTransaction& action);
+  void Take(const StateGet& action);
+  void Take(const StateList& action);
+  void Take(const StateWatch& action);
+  void Take(const LeaseCreate& action);
+  void Take(const LeaseRenew& action);
+  void Take(const LeaseEnd& action);
+  void Take(const CloudCatalog& action);
+  void Take(const CloudRent& action);
+  void Take(const CloudRelease& action);
+  void Take(const CloudList& action);
+  void Take(const DirectCommand& action);
+  void Take(const AnswerUser& action);
+  void Take(const AnswerWorker& action);
+  void Take(const MeshSend& action);
+  void Take(const LogLine&) {}  // wording may change
+
+  uint64_t hash_ = 14695981039346656037ULL;  // FNV-1a, 64 bits
+};
+
+}  // namespace sorrelwood::test
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -471,6 +471,7 @@
 
 void World::Handle(int index, Actions actions) {
   for (Action& action : actions) {
+    digest_.Add(index, action);
     if (auto* line = std::get_if<LogLine>(&action)) {
       const std::string& text = line->text;
       const size_t colon = text.find(": it is faulty");
--- a/tests/world.h
+++ b/tests/world.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "action_digest.h"
 #include "core/controller.h"
 
 namespace sorrelwood::test {
@@ -135,6 +136,8 @@
   // Launches that a machine was given after the cancellation was confirmed.
   int late_launches() const { return late_launches_; }
   int refused_odd_jobs() const { return refused_odd_jobs_; }
+  // Of all actions of all nodes so far.
+  uint64_t digest() const { return digest_.value(); }
 
  private:
   struct Node;
@@ -308,6 +311,7 @@
   int unhealthy_ticks_ = 0, wrongly_returned_ = 0;
   uint64_t most_work_ = 0;
   std::set<uint64_t> terms_seen_;
+  ActionDigest digest_;
 };
 
 }  // namespace sorrelwood::test
--- a/tests/world_test.cc
+++ b/tests/world_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdio>
 #include <cstdlib>
 
 namespace sorrelwood::test {
@@ -499,6 +500,29 @@
   second.Run();
   EXPECT_EQ(first.tasks_started(), second.tasks_started());
   EXPECT_EQ(first.takeovers(), second.takeovers());
+  EXPECT_EQ(first.digest(), second.digest());
+}
+
+// Prints a digest of all actions over several seeded runs. A change that is
+// meant to keep behaviour leaves it as it was: compare before and after.
+TEST(Day, PrintsADigestOfAllActions) {
+  uint64_t all = 0;
+  for (uint64_t seed = 1; seed <= 4; ++seed) {
+    WorldOptions options = Make("", true,
+                                {{40, Fault::kMachineCut, 40, 0},
+                                 {50, Fault::kCrashLeader, 0, 3},
+                                 {70, Fault::kSpotWave, 0, 0},
+                                 {80, Fault::kStateOutage, 15, 0}},
+                                0.02)
+                               .options;
+    options.seed = seed;
+    World world(options);
+    world.Run();
+    EXPECT_NE(world.digest(), ActionDigest().value());
+    all = all * 31 + world.digest();
+  }
+  std::printf("digest of all actions: %016llx\n",
+              static_cast<unsigned long long>(all));
 }
 
 // A node that the state service alone refuses sends users to the others; in an
