--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -37,6 +37,7 @@
   Section(const json* object, std::string name, std::string* error)
       : object_(object), name_(std::move(name)), error_(error) {}
 
+  bool Has(const char* name) const { return Find(name) != nullptr; }
   Section Sub(const char* name) const {
     const json* found = Find(name);
     if (!found || !found->is_object()) {
@@ -197,6 +198,15 @@
   s->state_write_rps = state.Number("write_rps", 0.1, kMostCount);
   s->state_value_kb = state.Number("value_kb", 0.1, kMostCount);
   s->state_txn_ops = static_cast<int>(state.Number("txn_ops", 2, 1e6));
+  if (state.Has("next")) {
+    const Section next = state.Sub("next");
+    // What it does not name stays as it is.
+    const double ops = s->state_txn_ops;
+    s->state_next = StateLimits{
+        next.Number("write_rps", 0.1, kMostCount, &s->state_write_rps),
+        next.Number("value_kb", 0.1, kMostCount, &s->state_value_kb),
+        static_cast<int>(next.Number("txn_ops", 2, 1e6, &ops))};
+  }
   const Section cloud = cluster.Sub("cloud");
   s->cloud_rps = cloud.Number("rps", 0.01, kMostCount);
   s->list_lag_s = cloud.Number("list_lag_s", 0, kMostSeconds);
--- a/src/core/actions.h
+++ b/src/core/actions.h
@@ -132,9 +132,17 @@
   bool removed = false;
 };
 
+// Why the state service refused a transaction for good, or for now.
+enum class StateRefusal {
+  kNone,
+  kTooLarge,        // a value or the transaction is over a limit (400)
+  kTooManyChanges,  // changes beyond the rate (429)
+};
+
 struct StateResult {
   uint64_t id = 0;
   Outcome outcome = Outcome::kUnknown;
+  StateRefusal refusal = StateRefusal::kNone;  // with kRefused
   uint64_t revision = 0;
   std::vector<std::string> failed;  // guards that did not hold
   std::vector<KeyValue> items;      // get, list, watch
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -80,6 +80,18 @@
 inline constexpr size_t kMostWriteBytes = 32 * 1024;
 // Tasks whose completion one key holds: 16,384 bits are 4 KiB as hexadecimal.
 inline constexpr uint32_t kTasksPerProgressKey = 16384;
+// Where that is more than a value may hold, a part of them has a key of its
+// own: at most so many tasks, 1 KiB, and at least so many. Around the bits such
+// a record takes so many bytes at most.
+inline constexpr uint32_t kMostTasksPerProgressPart = 4096;
+inline constexpr uint32_t kLeastTasksPerProgressPart = 64;
+inline constexpr size_t kProgressPartOverhead = 64;
+inline constexpr uint32_t kTasksPerHexDigit = 4;
+// Conditions that a transaction may have for each change (protocol).
+inline constexpr size_t kGuardsPerChange = 4;
+// Bytes of a rental's record besides the machines' names, and of one name.
+inline constexpr size_t kRentRecordBytes = 320;
+inline constexpr size_t kMachineNameBytes = 24;
 // Items that one listing asks for: the most that the service gives, since a
 // takeover reads the records of the whole fleet.
 inline constexpr int kListPage = 1000;
--- a/src/core/controller.cc
+++ b/src/core/controller.cc
@@ -11,13 +11,14 @@
                        const PolicySettings& policy, uint64_t incarnation)
     : settings_(settings),
       context_(incarnation),
+      limits_(settings_),
       directory_(&context_, static_cast<double>(settings_.siblings.size() + 1) /
                                 (settings_.state_rps * kWatchShare)),
       leadership_(&context_, &directory_, settings_.node, settings_.lease_s,
                   settings_.cancel_s),
-      front_desk_(&context_, &directory_, &settings_),
-      scheduler_(&context_, &directory_, &leadership_, &settings_, policy,
-                 incarnation),
+      front_desk_(&context_, &directory_, &limits_, &settings_),
+      scheduler_(&context_, &directory_, &leadership_, &settings_, &limits_,
+                 policy, incarnation),
       incarnation_(incarnation) {
   directory_.on_live = [this](const std::string& id) {
     scheduler_.JobAppeared(id);
@@ -95,6 +96,7 @@
 
 Actions Controller::Deliver(Time time, const StateResult& result) {
   Begin(time);
+  limits_.Learn(result);
   context_.Deliver(result);
   return End();
 }
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -57,6 +57,7 @@
 
   const ClusterSettings settings_;
   Context context_;
+  StateLimitTracker limits_;
   Directory directory_;
   Leadership leadership_;
   FrontDesk front_desk_;
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -494,11 +494,20 @@
     auto it = wanted.find(offer.Key());
     if (it == wanted.end()) continue;
     // As many calls at once as it takes: a fleet is asked for in one go.
-    for (int left = it->second; left > 0; left -= kMaxPerRent)
-      Begin(offer, std::min(left, kMaxPerRent));
+    const int most = MostPerRent();
+    for (int left = it->second; left > 0; left -= most)
+      Begin(offer, std::min(left, most));
   }
 }
 
+int Fleet::MostPerRent() const {
+  const size_t bytes = limits_->value_bytes();
+  const size_t names = bytes > kRentRecordBytes
+                           ? (bytes - kRentRecordBytes) / kMachineNameBytes
+                           : 0;
+  return std::clamp(static_cast<int>(names), 1, kMaxPerRent);
+}
+
 void Fleet::Begin(const Offer& offer, int count) {
   RentRecord record;
   record.name =
@@ -518,11 +527,12 @@
   // between the two would leave without an owner.
   writer_->Put(
       keys::Rent(record.name), wire::EncodeRentRecord(record),
-      [this, name = record.name] {
-        if (auto it = rents_.find(name); it != rents_.end())
-          it->second.recorded = true;
-      },
-      /*urgent=*/true);
+      {[this, name = record.name] {
+         if (auto it = rents_.find(name); it != rents_.end())
+           it->second.recorded = true;
+       },
+       // Without a record nothing is rented.
+       [this, name = record.name] { rents_.erase(name); }, /*urgent=*/true});
 }
 
 void Fleet::CallRent(const std::string& name) {
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -12,6 +12,7 @@
 #include "core/job_table.h"
 #include "core/machine_table.h"
 #include "core/placement.h"
+#include "core/state_limits.h"
 #include "core/writer.h"
 
 namespace sorrelwood {
@@ -19,13 +20,14 @@
 class Fleet {
  public:
   Fleet(Context* context, JobTable* jobs, MachineTable* machines,
-        Placement* placement, Writer* writer, const ClusterSettings* settings,
-        const PolicySettings& policy)
+        Placement* placement, Writer* writer, const StateLimitTracker* limits,
+        const ClusterSettings* settings, const PolicySettings& policy)
       : context_(context),
         jobs_(jobs),
         machines_(machines),
         placement_(placement),
         writer_(writer),
+        limits_(limits),
         settings_(settings),
         policy_(policy) {}
 
@@ -107,6 +109,8 @@
   std::vector<Offer> Offers() const;
   bool Refused(const Offer& offer) const;
   void Begin(const Offer& offer, int count);
+  // Machines that one rental may ask for: its record has to name them all.
+  int MostPerRent() const;
   void CallRent(const std::string& name);
   void EndRent(const std::string& name);
   static double PricePerCore(const Machine& machine);
@@ -121,6 +125,7 @@
   MachineTable* machines_;
   Placement* placement_;
   Writer* writer_;
+  const StateLimitTracker* limits_;
   const ClusterSettings* settings_;
   PolicySettings policy_;
   std::map<std::string, MachineType> types_;
--- a/src/core/front_desk.cc
+++ b/src/core/front_desk.cc
@@ -8,11 +8,18 @@
 #include "wire/json.h"
 
 namespace sorrelwood {
+namespace {
+
+constexpr char kTooLargeToStore[] = "the submission is too large to be stored";
+
+}  // namespace
 
 FrontDesk::FrontDesk(Context* context, Directory* directory,
+                     const StateLimitTracker* limits,
                      const ClusterSettings* settings)
     : context_(context),
       directory_(directory),
+      limits_(limits),
       settings_(settings),
       check_every_s_(std::max(
           kCheckBatchS, static_cast<double>(settings->siblings.size() + 1) /
@@ -127,24 +134,20 @@
     return;
   }
   if (const std::string why = Impossible(spec); !why.empty()) {
-    // Guards against refusing what was accepted under other machine types or
-    // limits.
-    LookUp(StateLane::kUser, id, [this, request, id, why](Where where) {
-      if (where == Where::kNoAnswer)
-        Unavailable(request, "the state service does not answer");
-      else if (where == Where::kNowhere)
-        Answer(request, 422, wire::EncodeError(why));
-      else
-        AnswerState(request, 200, id);
-    });
+    RefuseUnlessKnown(request, id, 422, why);
     return;
   }
   auto job = std::make_shared<LiveJob>();
   job->spec = spec;
   job->submitted_wall_s = context_->wall;
+  std::string record = wire::EncodeLiveJob(*job);
+  if (record.size() > limits_->value_bytes()) {
+    RefuseUnlessKnown(request, id, 400, kTooLargeToStore);
+    return;
+  }
   context_->Transact(
       StateLane::kUser, {{keys::Live(id), 0}, {keys::Final(id), 0}},
-      {{false, keys::Live(id), wire::EncodeLiveJob(*job), 0}},
+      {{false, keys::Live(id), std::move(record), 0}},
       [this, request, id, job](const StateResult& result) {
         switch (result.outcome) {
           case Outcome::kOk:
@@ -160,6 +163,11 @@
             });
             return;
           case Outcome::kRefused:
+            if (result.refusal == StateRefusal::kTooLarge) {
+              RefuseUnlessKnown(request, id, 400, kTooLargeToStore);
+              return;
+            }
+            [[fallthrough]];
           case Outcome::kUnknown:
             // It may yet be carried out; the user's retry will find the job.
             Unavailable(request, "the job could not be recorded");
@@ -168,6 +176,20 @@
       });
 }
 
+// Guards against refusing what was accepted under other machine types or
+// limits.
+void FrontDesk::RefuseUnlessKnown(uint64_t request, const std::string& id,
+                                  int status, const std::string& why) {
+  LookUp(StateLane::kUser, id, [this, request, id, status, why](Where where) {
+    if (where == Where::kNoAnswer)
+      Unavailable(request, "the state service does not answer");
+    else if (where == Where::kNowhere)
+      Answer(request, status, wire::EncodeError(why));
+    else
+      AnswerState(request, 200, id);
+  });
+}
+
 void FrontDesk::LookUp(StateLane lane, const std::string& id,
                        std::function<void(Where)> found) {
   context_->Get(
@@ -246,7 +268,7 @@
 // One compare-only transaction, sent after the polls arrived, shows which of
 // their jobs are still live.
 void FrontDesk::Check() {
-  const size_t most = static_cast<size_t>(settings_->state_txn_ops) * 4;
+  const size_t most = limits_->transaction_guards();
   std::vector<Guard> guards;
   std::set<std::string> included;
   std::vector<Waiting> batch, rest;
--- a/src/core/front_desk.h
+++ b/src/core/front_desk.h
@@ -9,13 +9,14 @@
 
 #include "core/context.h"
 #include "core/directory.h"
+#include "core/state_limits.h"
 
 namespace sorrelwood {
 
 class FrontDesk {
  public:
   FrontDesk(Context* context, Directory* directory,
-            const ClusterSettings* settings);
+            const StateLimitTracker* limits, const ClusterSettings* settings);
 
   void LearnCatalog(const std::vector<MachineType>& types) { types_ = types; }
   // Answers that wait for the state service and could not be given in time are
@@ -44,6 +45,9 @@
   void Unavailable(uint64_t request, const std::string& why);
   // Empty, or why no machine or limit could ever take a task of the job.
   std::string Impossible(const JobSpec& spec) const;
+  // Refuses a submission that can't be taken, unless it was accepted before.
+  void RefuseUnlessKnown(uint64_t request, const std::string& id, int status,
+                         const std::string& why);
   // Reads live key, then final key, and calls `found` with what there is: the
   // job moves from the first to the second, so this order misses nothing.
   enum class Where { kLive, kFinal, kNowhere, kNoAnswer };
@@ -58,6 +62,7 @@
 
   Context* context_;
   Directory* directory_;
+  const StateLimitTracker* limits_;
   const ClusterSettings* settings_;
   std::vector<MachineType> types_;
   struct Open {
--- a/src/core/job_table.cc
+++ b/src/core/job_table.cc
@@ -184,31 +184,4 @@
   use.gpus += gpus;
 }
 
-std::string EncodeBits(const IntervalSet& tasks, uint32_t chunk,
-                       uint32_t task_count) {
-  const uint32_t begin = chunk * kTasksPerProgressKey;
-  const uint32_t end = std::min(begin + kTasksPerProgressKey, task_count);
-  std::string nibbles((end - begin + 3) / 4, '\0');
-  for (const auto& [first, last] : tasks.ranges())
-    for (uint32_t n = std::max(first, begin); n < std::min(last, end); ++n)
-      nibbles[(n - begin) / 4] = static_cast<char>(nibbles[(n - begin) / 4] |
-                                                   (1 << ((n - begin) % 4)));
-  for (char& c : nibbles) c = "0123456789abcdef"[static_cast<int>(c)];
-  return nibbles;
-}
-
-void DecodeBits(const std::string& hex, uint32_t chunk, uint32_t task_count,
-                IntervalSet* tasks) {
-  const uint32_t begin = chunk * kTasksPerProgressKey;
-  for (size_t i = 0; i < hex.size(); ++i) {
-    const char c = hex[i];
-    const int value = c <= '9' ? c - '0' : c - 'a' + 10;
-    for (uint32_t bit = 0; bit < 4; ++bit) {
-      const uint32_t n = begin + static_cast<uint32_t>(i) * 4 + bit;
-      if ((value >> bit & 1) && n < task_count && !tasks->Contains(n))
-        tasks->Add(n);
-    }
-  }
-}
-
 }  // namespace sorrelwood
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -131,10 +131,4 @@
   std::map<std::string, UsualJob> usual_;         // by class
 };
 
-// The completed tasks of one progress key as hexadecimal bits, and back.
-std::string EncodeBits(const IntervalSet& tasks, uint32_t chunk,
-                       uint32_t task_count);
-void DecodeBits(const std::string& hex, uint32_t chunk, uint32_t task_count,
-                IntervalSet* tasks);
-
 }  // namespace sorrelwood
--- a/src/core/keys.h
+++ b/src/core/keys.h
@@ -22,6 +22,11 @@
 inline std::string Progress(const std::string& job, uint32_t chunk) {
   return kProgress + job + "/" + std::to_string(chunk);
 }
+// A part of a chunk, from task `first` on.
+inline std::string ProgressPart(const std::string& job, uint32_t chunk,
+                                uint32_t first) {
+  return Progress(job, chunk) + "." + std::to_string(first);
+}
 inline std::string Rent(const std::string& name) { return kRent + name; }
 inline std::string Machine(const std::string& name) { return kMachine + name; }
 
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -13,6 +13,7 @@
 
 Scheduler::Scheduler(Context* context, Directory* directory,
                      Leadership* leadership, const ClusterSettings* settings,
+                     const StateLimitTracker* limits,
                      const PolicySettings& policy, uint64_t seed)
     : context_(context),
       directory_(directory),
@@ -20,9 +21,10 @@
       settings_(settings),
       policy_(policy),
       placement_(context, &jobs_, &machines_, settings),
-      writer_(context, leadership, settings),
-      fleet_(context, &jobs_, &machines_, &placement_, &writer_, settings,
-             policy),
+      writer_(context, leadership, limits),
+      progress_(&jobs_, &writer_, limits),
+      fleet_(context, &jobs_, &machines_, &placement_, &writer_, limits,
+             settings, policy),
       waiting_(context, &jobs_, &machines_, policy, seed) {
   fleet_.on_gone = [this](Machine* machine) { DropEverything(machine); };
 }
@@ -48,9 +50,7 @@
   fleet_.Clear();
   jobs_.Clear();
   machines_.Clear();
-  progress_.clear();
-  progress_keys_.clear();
-  unwritten_.clear();
+  progress_.Clear();
   complete_.clear();
   unknown_tasks_.clear();
 }
@@ -71,7 +71,7 @@
   step(keys::kMachine, [this, step](const StateResult& machines) {
     LoadMachines(machines);
     step(keys::kProgress, [this, step](const StateResult& progress) {
-      LoadProgress(progress);
+      progress_.Load(progress);
       step(keys::kLive, [this, step](const StateResult& live) {
         directory_->LearnListing(live);
         step(keys::kRent,
@@ -84,8 +84,7 @@
 void Scheduler::LoadFailed() {
   ++generation_;
   machines_.Clear();
-  progress_.clear();
-  progress_keys_.clear();
+  progress_.Clear();
   reload_at_ = context_->now + kReloadPauseS;
 }
 
@@ -109,22 +108,6 @@
   }
 }
 
-void Scheduler::LoadProgress(const StateResult& result) {
-  for (const KeyValue& item : result.items) {
-    writer_.LearnVersion(item.key, item.version);
-    const std::string rest = keys::After(item.key, keys::kProgress);
-    const size_t slash = rest.rfind('/');
-    std::string bits;
-    if (slash == std::string::npos || !wire::ParseProgress(item.value, &bits))
-      continue;
-    const std::string job = rest.substr(0, slash);
-    const uint32_t chunk = static_cast<uint32_t>(
-        std::strtoul(rest.c_str() + slash + 1, nullptr, 10));
-    DecodeBits(bits, chunk, kMaxTasks, &progress_[job]);
-    progress_keys_[job].insert(chunk);
-  }
-}
-
 void Scheduler::Activate(const StateResult& rents) {
   std::vector<RentRecord> records;
   for (const KeyValue& item : rents.items) {
@@ -135,11 +118,7 @@
   active_ = true;
   fleet_.Load(leadership_->term(), records);
   for (const auto& [id, known] : directory_->live()) JobAppeared(id);
-  // What is left of ended jobs is swept.
-  for (const auto& [job, chunks] : progress_keys_)
-    if (!jobs_.Find(job))
-      for (uint32_t chunk : chunks) writer_.Remove(keys::Progress(job, chunk));
-  progress_.clear();
+  progress_.EndLoading();
   unaccounted_stale_ = true;
   context_->Info("took over " + std::to_string(jobs_.all().size()) +
                  " jobs and " + std::to_string(machines_.all().size()) +
@@ -157,15 +136,7 @@
                     std::to_string(job->spec().tasks) + " tasks, image " +
                     job->spec().image + ", team " + job->spec().team);
   next_rank_ = 0;  // with the next tick: a takeover brings hundreds at once
-  auto progress = progress_.find(id);
-  if (progress == progress_.end()) return;
-  for (const auto& [first, last] : progress->second.ranges()) {
-    for (uint32_t task = first; task < std::min(last, job->spec().tasks);
-         ++task) {
-      jobs_.MarkDone(job, task);
-      job->committed.Add(task);
-    }
-  }
+  progress_.Restore(job);
   if (job->done.size() == job->spec().tasks) complete_.push_back(id);
 }
 
@@ -185,12 +156,7 @@
     it->second.stop_grace_s = 0;
     if (it->second.phase == PlacedPhase::kAssigned) DropTask(machine, it);
   }
-  if (auto keys = progress_keys_.find(id); keys != progress_keys_.end()) {
-    for (uint32_t chunk : keys->second)
-      writer_.Remove(keys::Progress(id, chunk));
-    progress_keys_.erase(keys);
-  }
-  unwritten_.erase(id);
+  progress_.Remove(id);
   jobs_.Remove(id);
 }
 
@@ -502,7 +468,7 @@
   if (job->done.size() == job->spec().tasks)
     complete_.push_back(job->id());
   else
-    unwritten_.insert(job->id());
+    progress_.MarkUnwritten(job->id());
   // Its result is kept: another attempt of it, if there is one, is of no use.
   auto elsewhere = job->placed.find(task);
   if (elsewhere == job->placed.end()) return;
@@ -646,15 +612,14 @@
   MachineRecord record{machine->name, machine->type_name, machine->zone,
                        machine->address, machine->spot};
   // Before anything is placed there, so that a later leader knows of it.
-  writer_.Put(
-      keys::Machine(machine->name), wire::EncodeMachineRecord(record),
-      [this, name = machine->name] {
-        if (Machine* m = machines_.Find(name)) {
-          m->recorded = true;
-          fleet_.Settled(name);
-        }
-      },
-      /*urgent=*/true);
+  writer_.Put(keys::Machine(machine->name), wire::EncodeMachineRecord(record),
+              {[this, name = machine->name] {
+                 if (Machine* m = machines_.Find(name)) {
+                   m->recorded = true;
+                   fleet_.Settled(name);
+                 }
+               },
+               nullptr, /*urgent=*/true});
 }
 
 // --- Time
@@ -876,39 +841,7 @@
     complete_.pop_front();
     if (job && !job->finishing) Finish(job);
   }
-  for (const std::string& id : unwritten_) {
-    Job* job = jobs_.Find(id);
-    if (!job || job->done.size() == job->spec().tasks) continue;
-    const uint32_t chunks =
-        (job->spec().tasks + kTasksPerProgressKey - 1) / kTasksPerProgressKey;
-    for (uint32_t chunk = 0; chunk < chunks; ++chunk) {
-      const uint32_t begin = chunk * kTasksPerProgressKey;
-      const uint32_t end =
-          std::min(begin + kTasksPerProgressKey, job->spec().tasks);
-      IntervalSet now_done;
-      bool news = false;
-      for (const auto& [first, last] : job->done.ranges()) {
-        for (uint32_t n = std::max(first, begin); n < std::min(last, end);
-             ++n) {
-          now_done.Add(n);
-          news = news || !job->committed.Contains(n);
-        }
-      }
-      if (!news) continue;
-      progress_keys_[id].insert(chunk);
-      writer_.Put(
-          keys::Progress(id, chunk),
-          wire::EncodeProgress(EncodeBits(job->done, chunk, job->spec().tasks)),
-          [this, id, now_done] {
-            Job* written = jobs_.Find(id);
-            if (!written) return;
-            for (const auto& [first, last] : now_done.ranges())
-              for (uint32_t n = first; n < last; ++n)
-                if (!written->committed.Contains(n)) written->committed.Add(n);
-          });
-    }
-  }
-  unwritten_.clear();
+  progress_.Write();
 }
 
 // The end of a job: its live key goes and its final key comes, together.
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -14,6 +14,8 @@
 #include "core/leadership.h"
 #include "core/machine_table.h"
 #include "core/placement.h"
+#include "core/progress_store.h"
+#include "core/state_limits.h"
 #include "core/waiting_policy.h"
 #include "core/writer.h"
 
@@ -22,8 +24,8 @@
 class Scheduler {
  public:
   Scheduler(Context* context, Directory* directory, Leadership* leadership,
-            const ClusterSettings* settings, const PolicySettings& policy,
-            uint64_t seed);
+            const ClusterSettings* settings, const StateLimitTracker* limits,
+            const PolicySettings& policy, uint64_t seed);
 
   void Elected();
   void Deposed();
@@ -50,7 +52,6 @@
  private:
   void Load();
   void LoadMachines(const StateResult& result);
-  void LoadProgress(const StateResult& result);
   void Activate(const StateResult& rents);
   void LoadFailed();
 
@@ -90,6 +91,7 @@
   MachineTable machines_;
   Placement placement_;
   Writer writer_;
+  ProgressStore progress_;
   Fleet fleet_;
   WaitingPolicy waiting_;
 
@@ -99,10 +101,6 @@
   double next_place_ = 0, next_silence_ = 0, next_write_ = 0, next_policy_ = 0,
          next_rank_ = 0, next_debug_ = 0;
   double reload_at_ = 0;  // 0: no reading of the records has failed
-  std::map<std::string, IntervalSet> progress_;  // while loading
-  // Progress keys that exist, so that the end of a job removes them.
-  std::map<std::string, std::set<uint32_t>> progress_keys_;
-  std::set<std::string> unwritten_;  // jobs with unwritten completions
   std::deque<std::string>
       complete_;  // jobs whose end is to be written, in turn
   std::map<std::string, uint64_t> unknown_tasks_;  // machine -> tasks of no job
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -63,6 +63,13 @@
   std::string name, zone, address;
 };
 
+// What the state service takes at most.
+struct StateLimits {
+  double write_rps = 60;  // changes a second
+  double value_kb = 8;    // KiB of one value
+  int txn_ops = 16;       // changes in one transaction
+};
+
 // What the platform's settings file says, in the core's terms.
 struct ClusterSettings {
   std::string node;
@@ -77,6 +84,7 @@
   double state_rps = 150, state_write_rps = 60;
   double state_value_kb = 8;
   int state_txn_ops = 16;
+  std::optional<StateLimits> state_next;  // coming without notice
   double cloud_rps = 4, list_lag_s = 5;
   int sockets = 1000;
   double memory_mib = 0;  // 0: not said
@@ -169,6 +177,13 @@
   bool spot = false;
 };
 
+// Which tasks of a job are done, from `first_task` on; not named where the key
+// tells it.
+struct ProgressRecord {
+  std::optional<uint32_t> first_task;
+  std::string bits_hex;
+};
+
 struct JobCounts {
   std::string id;
   uint32_t done = 0, running = 0;
--- a/src/core/writer.cc
+++ b/src/core/writer.cc
@@ -8,22 +8,25 @@
 namespace sorrelwood {
 
 Writer::Writer(Context* context, Leadership* leadership,
-               const ClusterSettings* settings)
-    : context_(context), leadership_(leadership), settings_(settings) {}
+               const StateLimitTracker* limits)
+    : context_(context), leadership_(leadership), limits_(limits) {}
 
-void Writer::Put(const std::string& key, std::string value, Done done,
-                 bool urgent) {
+void Writer::Put(const std::string& key, std::string value, Handling handling) {
   auto [it, added] = waiting_.try_emplace(key);
-  it->second.urgent = urgent;
-  it->second.op = StateOp{false, key, std::move(value), 0};
-  if (done) it->second.done = std::move(done);
-  if (added) Line(key, urgent);
+  Entry& entry = it->second;
+  entry.op = StateOp{false, key, std::move(value), 0};
+  entry.alone = false;
+  entry.handling.urgent = handling.urgent;
+  if (handling.written) entry.handling.written = std::move(handling.written);
+  if (handling.too_large)
+    entry.handling.too_large = std::move(handling.too_large);
+  if (added) Line(key, handling.urgent);
 }
 
 void Writer::Remove(const std::string& key) {
   auto [it, added] = waiting_.try_emplace(key);
   it->second.op = StateOp{true, key, "", 0};
-  it->second.done = nullptr;
+  it->second.handling = Handling();
   if (added) order_.push_back(key);
 }
 
@@ -58,7 +61,7 @@
 }
 
 void Writer::Tick() {
-  const double rate = settings_->state_write_rps * kWriteShare;
+  const double rate = limits_->changes_per_s() * kWriteShare;
   const double gain = (context_->now - refilled_at_) * rate / 2;
   refilled_at_ = context_->now;
   // What ends of jobs leave of their half is there for the rest.
@@ -71,59 +74,92 @@
     Send();
 }
 
-void Writer::Send() {
-  std::vector<StateOp> ops;
-  std::vector<Guard> guards;
-  std::vector<Entry> sent;
+std::vector<Writer::Entry> Writer::TakeBatch() {
   const size_t most =
-      std::min<size_t>(static_cast<size_t>(settings_->state_txn_ops),
-                       static_cast<size_t>(std::max(1.0, tokens_)));
+      std::min(static_cast<size_t>(limits_->transaction_changes()),
+               static_cast<size_t>(std::max(1.0, tokens_)));
+  std::vector<Entry> batch;
   size_t bytes = 0;
-  while (!(urgent_.empty() && order_.empty()) && ops.size() < most &&
+  while (!(urgent_.empty() && order_.empty()) && batch.size() < most &&
          bytes < kMostWriteBytes) {
     auto& line = urgent_.empty() ? order_ : urgent_;
     const std::string key = line.front();
+    auto it = waiting_.find(key);
+    const bool alone = it->second.alone && !uncertain_.count(key);
+    if (alone && !batch.empty()) break;
     line.pop_front();
     if (uncertain_.count(key)) {
       Read(key);
       continue;
     }
-    auto it = waiting_.find(key);
     bytes += it->second.op.value.size();
-    auto version = versions_.find(key);
-    guards.push_back({key, version == versions_.end() ? 0 : version->second});
-    ops.push_back(it->second.op);
-    sent.push_back(std::move(it->second));
+    batch.push_back(std::move(it->second));
     waiting_.erase(it);
+    if (alone) break;
+  }
+  return batch;
+}
+
+void Writer::Send() {
+  std::vector<Entry> batch = TakeBatch();
+  if (batch.empty()) return;
+  std::vector<StateOp> ops;
+  std::vector<Guard> guards;
+  for (const Entry& entry : batch) {
+    const auto version = versions_.find(entry.op.key);
+    guards.push_back(
+        {entry.op.key, version == versions_.end() ? 0 : version->second});
+    ops.push_back(entry.op);
   }
-  if (ops.empty()) return;
   ++in_flight_;
   Commit(std::move(guards), std::move(ops),
-         [this, sent = std::move(sent)](const StateResult& result) {
+         [this, batch = std::move(batch)](const StateResult& result) {
            --in_flight_;
-           for (const Entry& entry : sent) {
-             if (result.outcome == Outcome::kOk) {
-               if (entry.op.remove)
-                 versions_.erase(entry.op.key);
-               else
-                 versions_[entry.op.key] = result.revision;
-               if (entry.done) entry.done();
-               continue;
-             }
-             // It may have been carried out, or a late copy of an earlier write
-             // was: what the key holds is read first.
-             if (result.outcome != Outcome::kRefused)
-               uncertain_.insert(entry.op.key);
-             Queue(entry.op.key, entry);
-           }
-           if (result.outcome != Outcome::kOk)
-             next_send_ = context_->now + kWriteRetryS;
+           Sent(batch, result);
          });
 }
 
+void Writer::Sent(std::vector<Entry> batch, const StateResult& result) {
+  const bool too_large = result.refusal == StateRefusal::kTooLarge;
+  if (result.outcome != Outcome::kOk && !too_large)
+    next_send_ = context_->now + kWriteRetryS;
+  const bool in_a_batch = batch.size() > 1;
+  for (Entry& entry : batch) {
+    const std::string key = entry.op.key;
+    if (result.outcome == Outcome::kOk) {
+      if (entry.op.remove)
+        versions_.erase(key);
+      else
+        versions_[key] = result.revision;
+      if (entry.handling.written) entry.handling.written();
+    } else if (too_large) {
+      Refused(std::move(entry), in_a_batch);
+    } else {
+      // It may have been carried out, or a late copy of an earlier write was:
+      // what the key holds is read first.
+      if (result.outcome != Outcome::kRefused) uncertain_.insert(key);
+      Queue(key, std::move(entry));
+    }
+  }
+}
+
+// Guards against a value that is never taken being tried for ever, and keeping
+// from the state service what waits behind it.
+void Writer::Refused(Entry entry, bool in_a_batch) {
+  const std::string key = entry.op.key;
+  if (in_a_batch) {
+    entry.alone = true;
+    Queue(key, std::move(entry));
+    return;
+  }
+  context_->Error("the state service takes no " +
+                  std::to_string(entry.op.value.size()) + " bytes at " + key);
+  if (entry.handling.too_large) entry.handling.too_large();
+}
+
 // Puts back what could not be written, unless a newer write of the key waits.
 void Writer::Queue(const std::string& key, Entry entry) {
-  const bool urgent = entry.urgent;
+  const bool urgent = entry.handling.urgent;
   if (waiting_.try_emplace(key, std::move(entry)).second) Line(key, urgent);
 }
 
@@ -141,7 +177,7 @@
                     next_send_ = context_->now + kWriteRetryS;
                   }
                   if (auto it = waiting_.find(key); it != waiting_.end())
-                    Line(key, it->second.urgent);
+                    Line(key, it->second.handling.urgent);
                 });
 }
 
--- a/src/core/writer.h
+++ b/src/core/writer.h
@@ -11,22 +11,31 @@
 
 #include "core/context.h"
 #include "core/leadership.h"
+#include "core/state_limits.h"
 
 namespace sorrelwood {
 
 class Writer {
  public:
-  using Done = std::function<void()>;
+  // What becomes of one write.
+  struct Handling {
+    std::function<void()> written;
+    // The value is over the state service's limit: it is not tried again.
+    std::function<void()> too_large;
+    bool urgent = false;
+  };
 
   Writer(Context* context, Leadership* leadership,
-         const ClusterSettings* settings);
+         const StateLimitTracker* limits);
 
-  // Repeated until it is committed; a later write of the same key replaces one
-  // that has not left yet. `done` runs once the key is written. What nothing
-  // may be launched or rented before is urgent: it goes before progress, which
-  // would keep a new fleet waiting.
-  void Put(const std::string& key, std::string value, Done done = nullptr,
-           bool urgent = false);
+  // Repeated until it is committed or found to be too large; a later write of
+  // the same key replaces one that has not left yet. What nothing may be
+  // launched or rented before is urgent: it goes before progress, which would
+  // keep a new fleet waiting.
+  void Put(const std::string& key, std::string value, Handling handling);
+  void Put(const std::string& key, std::string value) {
+    Put(key, std::move(value), Handling());
+  }
   void Remove(const std::string& key);
   // What a listing says of a key, before the first write to it.
   void LearnVersion(const std::string& key, uint64_t version) {
@@ -52,8 +61,10 @@
  private:
   struct Entry {
     StateOp op;
-    Done done;
-    bool urgent = false;
+    Handling handling;
+    // A batch with it was refused for its size: it leaves alone, so that it
+    // neither holds up others nor is tried for ever.
+    bool alone = false;
   };
   void Line(const std::string& key, bool urgent) {
     (urgent ? urgent_ : order_).push_back(key);
@@ -61,12 +72,16 @@
   void Transact(std::vector<Guard> guards, std::vector<StateOp> ops,
                 StateCallback done);
   void Send();
+  // What goes into one transaction, from the front of the lines.
+  std::vector<Entry> TakeBatch();
+  void Sent(std::vector<Entry> batch, const StateResult& result);
+  void Refused(Entry entry, bool in_a_batch);
   void Read(const std::string& key);
   void Queue(const std::string& key, Entry entry);
 
   Context* context_;
   Leadership* leadership_;
-  const ClusterSettings* settings_;
+  const StateLimitTracker* limits_;
   std::map<std::string, Entry> waiting_;
   std::deque<std::string> urgent_, order_;    // keys in `waiting_`
   std::map<std::string, uint64_t> versions_;  // absent: the key does not exist
--- a/src/state/state_client.cc
+++ b/src/state/state_client.cc
@@ -1,5 +1,6 @@
 #include "state/state_client.h"
 
+#include <algorithm>
 #include <cmath>
 
 #include "core/constants.h"
@@ -19,6 +20,17 @@
   return Outcome::kUnknown;
 }
 
+// A lease that has ended gets 400 as well; it is no matter of size.
+StateRefusal RefusalOf(const StateTransaction& transaction, int status) {
+  const bool leased =
+      std::any_of(transaction.ops.begin(), transaction.ops.end(),
+                  [](const StateOp& op) { return op.lease != 0; });
+  if (transaction.ops.empty() || leased) return StateRefusal::kNone;
+  if (status == 400) return StateRefusal::kTooLarge;
+  if (status == 429) return StateRefusal::kTooManyChanges;
+  return StateRefusal::kNone;
+}
+
 }  // namespace
 
 StateClient::StateClient(const std::string& address, double timeout_s)
@@ -30,6 +42,7 @@
   const HttpAnswer answer =
       http_.Post("/multi", wire::EncodeTransaction(transaction));
   result.outcome = Judge(answer);
+  result.refusal = RefusalOf(transaction, answer.status);
   if (answer.status == 404) result.outcome = Outcome::kRefused;
   if ((result.outcome == Outcome::kOk ||
        result.outcome == Outcome::kConflict) &&
--- a/src/wire/json.cc
+++ b/src/wire/json.cc
@@ -649,15 +649,29 @@
   return r.ok();
 }
 
-std::string EncodeProgress(const std::string& bits_hex) {
-  return Write(bits_hex);
+std::string EncodeProgress(const ProgressRecord& record) {
+  if (!record.first_task) return Write(record.bits_hex);
+  return Write({{"from", *record.first_task}, {"bits", record.bits_hex}});
 }
 
-bool ParseProgress(const std::string& text, std::string* bits_hex) {
+bool ParseProgress(const std::string& text, ProgressRecord* record) {
   const json value = Read(text);
-  if (!value.is_string()) return false;
-  *bits_hex = value.get<std::string>();
-  return bits_hex->find_first_not_of("0123456789abcdef") == std::string::npos;
+  record->first_task.reset();
+  if (value.is_string()) {
+    record->bits_hex = value.get<std::string>();
+  } else if (value.is_object()) {
+    Reader r(value);
+    const uint64_t first = r.Count("from");
+    const json* bits = r.Find("bits");
+    if (!r.ok() || first >= kMaxTasks || !bits || !bits->is_string())
+      return false;
+    record->first_task = static_cast<uint32_t>(first);
+    record->bits_hex = bits->get<std::string>();
+  } else {
+    return false;
+  }
+  return record->bits_hex.find_first_not_of("0123456789abcdef") ==
+         std::string::npos;
 }
 
 }  // namespace sorrelwood::wire
--- a/src/wire/json.h
+++ b/src/wire/json.h
@@ -66,7 +66,7 @@
 bool ParseRentRecord(const std::string& text, RentRecord* rent);
 std::string EncodeMachineRecord(const MachineRecord& machine);
 bool ParseMachineRecord(const std::string& text, MachineRecord* machine);
-std::string EncodeProgress(const std::string& bits_hex);
-bool ParseProgress(const std::string& text, std::string* bits_hex);
+std::string EncodeProgress(const ProgressRecord& record);
+bool ParseProgress(const std::string& text, ProgressRecord* record);
 
 }  // namespace sorrelwood::wire
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -229,6 +229,20 @@
   EXPECT_EQ(outcome(429, ""), Outcome::kRefused);
   EXPECT_EQ(outcome(503, ""), Outcome::kRefused);
   EXPECT_EQ(outcome(500, ""), Outcome::kUnknown);
+  // Only what changes something tells of the limits on changes; a lease that
+  // has ended gets 400 as well.
+  const auto refusal = [&](int with, const StateTransaction& transaction) {
+    status = with;
+    return client.Transact(transaction).refusal;
+  };
+  StateTransaction change, leased;
+  change.ops = {{false, "a", "1", 0}};
+  leased.ops = {{false, "a", "1", 7}};
+  EXPECT_EQ(refusal(400, change), StateRefusal::kTooLarge);
+  EXPECT_EQ(refusal(429, change), StateRefusal::kTooManyChanges);
+  EXPECT_EQ(refusal(503, change), StateRefusal::kNone);
+  EXPECT_EQ(refusal(400, leased), StateRefusal::kNone);
+  EXPECT_EQ(refusal(429, {}), StateRefusal::kNone);
   // An answer that can't be read says nothing about what was done.
   EXPECT_EQ(outcome(200, "rubbish"), Outcome::kUnknown);
 }
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -5,6 +5,7 @@
 #include "core/constants.h"
 #include "core/interval_set.h"
 #include "core/job_table.h"
+#include "core/progress_store.h"
 #include "core/wait_predictor.h"
 #include "mesh/mesh.h"
 
@@ -33,11 +34,14 @@
   done.Add(5, 9);
   done.Add(16383, 16390);
   done.Add(39999);
-  for (uint32_t chunk = 0; chunk < 3; ++chunk)
-    DecodeBits(EncodeBits(done, chunk, 40000), chunk, 40000, &back);
+  for (uint32_t begin = 0; begin < 40000; begin += kTasksPerProgressKey) {
+    const uint32_t end = std::min(begin + kTasksPerProgressKey, 40000u);
+    DecodeBits(EncodeBits(done, begin, end), begin, 40000, &back);
+  }
   EXPECT_EQ(back.ranges(), done.ranges());
   // The largest array stays under the state service's 8 KiB a value.
-  EXPECT_LE(EncodeBits(IntervalSet(0, 100000), 0, 100000).size(), 4096u);
+  EXPECT_LE(EncodeBits(IntervalSet(0, 100000), 0, kTasksPerProgressKey).size(),
+            4096u);
 }
 
 std::shared_ptr<LiveJob> NewJob(const std::string& id, const std::string& team,
@@ -194,6 +198,32 @@
   EXPECT_EQ(settings.objectives[0].job_class, "fast");
 }
 
+// The limits that are coming, if any are; what they don't name stays.
+TEST(Settings, LimitsOfTheStateServiceThatAreComing) {
+  ClusterSettings settings;
+  std::string error;
+  ASSERT_TRUE(ParseClusterSettings(kSettings, &settings, &error)) << error;
+  EXPECT_FALSE(settings.state_next.has_value());
+  const auto with = [&](const std::string& next) {
+    std::string text = kSettings;
+    const std::string ops = "\"txn_ops\":16";
+    text.replace(text.find(ops), ops.size(), ops + ",\"next\":" + next);
+    settings = ClusterSettings();
+    return ParseClusterSettings(text, &settings, &error);
+  };
+  ASSERT_TRUE(with(R"({"write_rps":42.0,"value_kb":2.0,"txn_ops":5})"));
+  EXPECT_DOUBLE_EQ(settings.state_next->write_rps, 42);
+  EXPECT_DOUBLE_EQ(settings.state_next->value_kb, 2);
+  EXPECT_EQ(settings.state_next->txn_ops, 5);
+  ASSERT_TRUE(with(R"({"value_kb":2.0})"));
+  EXPECT_DOUBLE_EQ(settings.state_next->write_rps, 60);
+  EXPECT_EQ(settings.state_next->txn_ops, 16);
+  EXPECT_FALSE(with(R"({"txn_ops":1})"));
+  EXPECT_EQ(error.find("cluster.state.next.txn_ops"), 0u) << error;
+  EXPECT_FALSE(with("7"));
+  EXPECT_EQ(error.find("cluster.state.next"), 0u) << error;
+}
+
 TEST(Settings, SayWhichFieldIsWrong) {
   const std::pair<const char*, const char*> cases[] = {
       {"\"10.0.0.1:8080\"", "serve_on"},
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -806,10 +806,11 @@
   Directory directory(&context);
   Leadership leadership(&context, &directory, "node-0", 14, 39);
   ClusterSettings settings;
-  Writer writer(&context, &leadership, &settings);
+  const StateLimitTracker limits(settings);
+  Writer writer(&context, &leadership, &limits);
   for (int i = 0; i < 100; ++i)
     writer.Put(keys::Progress("job-" + std::to_string(i), 0), "{}");
-  writer.Put(keys::Machine("n-1"), "{}", nullptr, /*urgent=*/true);
+  writer.Put(keys::Machine("n-1"), "{}", {nullptr, nullptr, /*urgent=*/true});
   context.now = 10;
   writer.Tick();
   ASSERT_FALSE(context.out.empty());
@@ -1085,7 +1086,8 @@
   Directory directory(&context);
   Leadership leadership(&context, &directory, "node-0", 14, 39);
   ClusterSettings settings;
-  Writer writer(&context, &leadership, &settings);
+  const StateLimitTracker limits(settings);
+  Writer writer(&context, &leadership, &limits);
   int ends = 0, progress = 0;
   for (int tick = 0; tick < 250; ++tick) {
     context.now = 100 + 0.04 * tick;
--- /dev/null
+++ b/tests/state_limits_test.cc
@@ -0,0 +1,308 @@
+// What happens when the state service lowers its limits.
+#include "core/state_limits.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+#include "core/constants.h"
+#include "core/front_desk.h"
+#include "core/keys.h"
+#include "core/progress_store.h"
+#include "core/writer.h"
+#include "wire/json.h"
+
+namespace sorrelwood {
+namespace {
+
+ClusterSettings FallingLimits(double value_kb, int txn_ops) {
+  ClusterSettings settings;
+  settings.state_next = StateLimits{42, value_kb, txn_ops};
+  return settings;
+}
+
+StateResult Refusal(StateRefusal why) {
+  StateResult result;
+  result.outcome = Outcome::kRefused;
+  result.refusal = why;
+  return result;
+}
+
+TEST(StateLimits, FallOnceARefusalShowsItAndStay) {
+  StateLimitTracker limits(FallingLimits(2, 5));
+  EXPECT_EQ(limits.transaction_changes(), 5);
+  EXPECT_EQ(limits.transaction_guards(), 20u);
+  EXPECT_EQ(limits.value_bytes(), 8192u);
+  EXPECT_DOUBLE_EQ(limits.changes_per_s(), 60);
+  limits.Learn(Refusal(StateRefusal::kNone));
+  EXPECT_EQ(limits.value_bytes(), 8192u);
+  limits.Learn(Refusal(StateRefusal::kTooLarge));
+  EXPECT_EQ(limits.value_bytes(), 2048u);
+  EXPECT_DOUBLE_EQ(limits.changes_per_s(), 60);
+  limits.Learn(Refusal(StateRefusal::kTooManyChanges));
+  EXPECT_DOUBLE_EQ(limits.changes_per_s(), 42);
+  limits.Learn(StateResult());
+  EXPECT_EQ(limits.value_bytes(), 2048u);
+}
+
+TEST(StateLimits, WithoutAnnouncementStayAsTheyAre) {
+  StateLimitTracker limits{ClusterSettings()};
+  limits.Learn(Refusal(StateRefusal::kTooLarge));
+  limits.Learn(Refusal(StateRefusal::kTooManyChanges));
+  EXPECT_EQ(limits.transaction_changes(), 16);
+  EXPECT_EQ(limits.value_bytes(), 8192u);
+  EXPECT_DOUBLE_EQ(limits.changes_per_s(), 60);
+}
+
+// A state service with limits, and a leader's writer in front of it.
+class LimitedStore {
+ public:
+  explicit LimitedStore(const ClusterSettings& settings)
+      : limits_(settings),
+        context_(1),
+        directory_(&context_),
+        leadership_(&context_, &directory_, "node-0", 14, 39),
+        writer_(&context_, &leadership_, &limits_) {}
+
+  size_t value_bytes = 8192;
+  size_t changes = 16;
+
+  Writer& writer() { return writer_; }
+  const StateLimitTracker& limits() const { return limits_; }
+  const std::map<std::string, std::string>& values() const { return values_; }
+  int refused() const { return refused_; }
+  StateResult Listing() const {
+    StateResult listing;
+    for (const auto& [key, value] : values_)
+      listing.items.push_back({key, value, 1, false});
+    return listing;
+  }
+
+  // `between` runs before each round of writes.
+  void Run(double seconds, const std::function<void()>& between) {
+    for (const double until = now_ + seconds; now_ < until; now_ += 0.04) {
+      context_.now = now_;
+      if (between) between();
+      writer_.Tick();
+      for (const Action& action : std::exchange(context_.out, {}))
+        if (const auto* sent = std::get_if<StateTransaction>(&action))
+          Serve(*sent);
+    }
+  }
+
+ private:
+  void Serve(const StateTransaction& transaction) {
+    StateResult result;
+    result.id = transaction.id;
+    result.outcome = Outcome::kOk;
+    for (const StateOp& op : transaction.ops)
+      if (op.value.size() > value_bytes || transaction.ops.size() > changes) {
+        result = Refusal(StateRefusal::kTooLarge);
+        result.id = transaction.id;
+      }
+    if (result.outcome == Outcome::kOk) {
+      for (const StateOp& op : transaction.ops) {
+        if (op.remove)
+          values_.erase(op.key);
+        else
+          values_[op.key] = op.value;
+      }
+    } else {
+      ++refused_;
+    }
+    limits_.Learn(result);
+    context_.Deliver(result);
+  }
+
+  StateLimitTracker limits_;
+  Context context_;
+  Directory directory_;
+  Leadership leadership_;
+  Writer writer_;
+  std::map<std::string, std::string> values_;
+  double now_ = 100;
+  int refused_ = 0;
+};
+
+TEST(Writer, AValueThatIsNeverTakenHoldsUpNothing) {
+  LimitedStore store{ClusterSettings()};
+  int given_up = 0;
+  const std::string large(9000, 'x');
+  store.writer().Put("large", "\"" + large + "\"",
+                     {nullptr, [&] { ++given_up; }, /*urgent=*/false});
+  for (int i = 0; i < 30; ++i)
+    store.writer().Put("small-" + std::to_string(i), "1");
+  store.Run(3, nullptr);
+  EXPECT_EQ(store.values().size(), 30u);
+  EXPECT_EQ(given_up, 1);
+  // Once in a batch and once alone.
+  EXPECT_EQ(store.refused(), 2);
+}
+
+TEST(Writer, BatchesKeepToTheSmallerLimitFromTheStart) {
+  LimitedStore store(FallingLimits(2, 5));
+  store.changes = 5;
+  for (int i = 0; i < 100; ++i)
+    store.writer().Put("small-" + std::to_string(i), "1");
+  store.Run(5, nullptr);
+  EXPECT_EQ(store.values().size(), 100u);
+  EXPECT_EQ(store.refused(), 0);
+}
+
+std::shared_ptr<LiveJob> ArrayOf(uint32_t tasks) {
+  auto job = std::make_shared<LiveJob>();
+  job->spec.id = "job-1";
+  job->spec.tasks = tasks;
+  job->spec.cpus = 1;
+  return job;
+}
+
+class ProgressLimits : public ::testing::TestWithParam<size_t> {};
+
+// An array as large as any, its progress written before and after the fall.
+TEST_P(ProgressLimits, NothingWrittenIsLostWhenValuesShrink) {
+  constexpr uint32_t kTasks = kMaxTasks;
+  const size_t small = GetParam();
+  LimitedStore store(FallingLimits(static_cast<double>(small) / 1024, 5));
+  JobTable jobs;
+  ProgressStore progress(&jobs, &store.writer(), &store.limits());
+  Job* job = jobs.Add(ArrayOf(kTasks), 1, false, 0);
+  const auto complete = [&](uint32_t begin, uint32_t end) {
+    for (uint32_t n = begin; n < end; ++n) jobs.MarkDone(job, n);
+    progress.MarkUnwritten("job-1");
+  };
+  complete(0, 20000);
+  complete(99990, 99995);
+  store.Run(10, [&] { progress.Write(); });
+  EXPECT_EQ(job->committed.size(), 20005u);
+  EXPECT_EQ(store.refused(), 0);
+  for (const auto& [key, value] : store.values())
+    EXPECT_EQ(value[0], '"') << key << " is not in the form of before";
+
+  store.value_bytes = small;
+  store.changes = 5;
+  complete(20000, 20003);
+  complete(70001, 70002);
+  store.Run(30, [&] { progress.Write(); });
+  EXPECT_EQ(job->committed.ranges(), job->done.ranges());
+  EXPECT_LE(store.refused(), 4);
+
+  // The next leader reads both forms.
+  JobTable next_jobs;
+  ProgressStore next(&next_jobs, &store.writer(), &store.limits());
+  next.Load(store.Listing());
+  Job* again = next_jobs.Add(ArrayOf(kTasks), 1, true, 0);
+  next.Restore(again);
+  next.EndLoading();
+  EXPECT_EQ(again->done.ranges(), job->done.ranges());
+  next.Remove("job-1");
+  store.Run(10, nullptr);
+  EXPECT_TRUE(store.values().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, ProgressLimits,
+                         ::testing::Values(2048, 1024, 512, 256));
+
+// The version before takes any string of digits for a whole chunk, so a part
+// must be nothing that it can read.
+TEST(Progress, APartIsNoWholeChunk) {
+  ProgressRecord part{4096, "ff"};
+  EXPECT_EQ(wire::EncodeProgress(part), R"({"bits":"ff","from":4096})");
+  ProgressRecord read;
+  ASSERT_TRUE(wire::ParseProgress(wire::EncodeProgress(part), &read));
+  EXPECT_EQ(read.first_task, 4096u);
+  EXPECT_EQ(read.bits_hex, "ff");
+  for (const char* bad :
+       {"{}", "7", "[]", R"({"from":1})", R"({"from":-1,"bits":"f"})",
+        R"({"from":100000,"bits":"f"})", R"({"from":0,"bits":"xyz"})"})
+    EXPECT_FALSE(wire::ParseProgress(bad, &read)) << bad;
+}
+
+// Users' submissions under a limit on values.
+class Submissions : public ::testing::Test {
+ protected:
+  Submissions()
+      : limits_(settings_),
+        directory_(&context_),
+        front_desk_(&context_, &directory_, &limits_, &settings_) {
+    front_desk_.LearnCatalog(
+        {{"big", 16, 0, 64, 100, 1, 1, 0.4, 10, {"zone"}}});
+  }
+  static ClusterSettings Settings() {
+    ClusterSettings settings = FallingLimits(2, 5);
+    settings.teams = {{"team", 10, 100, 0, 0}};
+    return settings;
+  }
+  JobSpec Large() const {
+    JobSpec spec;
+    spec.id = "job-1";
+    spec.team = "team";
+    spec.tasks = 1;
+    spec.cpus = 1;
+    spec.types = {"big", std::string(3000, 'x')};
+    return spec;
+  }
+  // The answer to a submission; the state service holds values of `most` bytes
+  // and, if `known`, the job already.
+  int Submit(const JobSpec& spec, size_t most, bool known) {
+    front_desk_.Submit(++request_, spec);
+    int status = 0;
+    for (int round = 0; round < 5; ++round) {
+      for (const Action& action : std::exchange(context_.out, {})) {
+        if (const auto* answer = std::get_if<AnswerUser>(&action))
+          status = answer->status;
+        StateResult result;
+        if (const auto* sent = std::get_if<StateTransaction>(&action)) {
+          result.id = sent->id;
+          const bool fits = sent->ops[0].value.size() <= most;
+          result.outcome = !fits   ? Outcome::kRefused
+                           : known ? Outcome::kConflict
+                                   : Outcome::kOk;
+          if (!fits) result.refusal = StateRefusal::kTooLarge;
+          result.revision = 5;
+        } else if (const auto* get = std::get_if<StateGet>(&action)) {
+          result.id = get->id;
+          result.outcome = Outcome::kConflict;
+          if (known && get->key == keys::Live(spec.id)) {
+            LiveJob job;
+            job.spec = spec;
+            result.outcome = Outcome::kOk;
+            result.items = {{get->key, wire::EncodeLiveJob(job), 4, false}};
+          }
+        } else {
+          continue;
+        }
+        limits_.Learn(result);
+        context_.Deliver(result);
+      }
+    }
+    return status;
+  }
+
+  ClusterSettings settings_ = Settings();
+  StateLimitTracker limits_;
+  Context context_{1};
+  Directory directory_;
+  FrontDesk front_desk_;
+  uint64_t request_ = 0;
+};
+
+TEST_F(Submissions, AreStoredWhileTheyFit) {
+  EXPECT_EQ(Submit(Large(), 8192, false), 201);
+}
+
+TEST_F(Submissions, ThatCanNotBeStoredAreToldSo) {
+  EXPECT_EQ(Submit(Large(), 2048, false), 400);
+  EXPECT_EQ(Submit(Large(), 2048, false), 400);  // known to be too large now
+  JobSpec larger = Large();
+  larger.types.push_back(std::string(9000, 'y'));
+  EXPECT_EQ(Submit(larger, 8192, false), 400);
+}
+
+TEST_F(Submissions, ThatWereAcceptedBeforeTheFallStayKnown) {
+  EXPECT_EQ(Submit(Large(), 2048, true), 200);
+}
+
+}  // namespace
+}  // namespace sorrelwood
--- a/tests/stored_forms_test.cc
+++ b/tests/stored_forms_test.cc
@@ -62,9 +62,11 @@
   EXPECT_EQ(wire::EncodeTerm(term), R"({"term":7})");
   EXPECT_EQ(wire::EncodeFinal(FinalState::kDone), R"("done")");
   EXPECT_EQ(wire::EncodeFinal(FinalState::kCancelled), R"("cancelled")");
-  std::string bits;
-  ASSERT_TRUE(wire::ParseProgress(R"("0f3")", &bits));
-  EXPECT_EQ(wire::EncodeProgress(bits), R"("0f3")");
+  ProgressRecord progress;
+  ASSERT_TRUE(wire::ParseProgress(R"("0f3")", &progress));
+  EXPECT_EQ(progress.bits_hex, "0f3");
+  EXPECT_FALSE(progress.first_task.has_value());
+  EXPECT_EQ(wire::EncodeProgress(progress), R"("0f3")");
 }
 
 TEST(StoredForms, NotesAreWrittenAndReadToTheByte) {
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -1172,14 +1172,19 @@
 
 bool World::WrittenDown(const std::string& job, uint32_t task) const {
   if (keys_.count("sw/w/final/" + job)) return true;
-  auto progress = keys_.find("sw/progress/" + job + "/0");
-  std::string bits;
-  if (progress == keys_.end() ||
-      !wire::ParseProgress(progress->second.value, &bits))
-    return false;
   // Four tasks a digit, the first in the lowest bit.
-  const int digit = std::stoi(bits.substr(task / 4, 1), nullptr, 16);
-  return digit >> (task % 4) & 1;
+  const std::string prefix = "sw/progress/" + job + "/";
+  for (auto it = keys_.lower_bound(prefix);
+       it != keys_.end() && it->first.compare(0, prefix.size(), prefix) == 0;
+       ++it) {
+    ProgressRecord record;
+    if (!wire::ParseProgress(it->second.value, &record)) continue;
+    const uint32_t first = record.first_task.value_or(0);
+    if (task < first || (task - first) / 4 >= record.bits_hex.size()) continue;
+    const std::string digit = record.bits_hex.substr((task - first) / 4, 1);
+    if (std::stoi(digit, nullptr, 16) >> ((task - first) % 4) & 1) return true;
+  }
+  return false;
 }
 
 void World::EndTask(Worker& worker, SimTask& task, ExitReason reason) {
