Services: replicas run again when they end, go first, and have room kept and made for them

Now replicas stand before other work, restart with a falling rate, keep apart, and never complete; room on allowed machines for what arrives in a boot and one job more is kept free and rented ahead; where there is none, tasks of lower priority are stopped.

--- a/src/app/metrics.cc
+++ b/src/app/metrics.cc
@@ -48,6 +48,10 @@
   Value("predictor_error_seconds").Set(s.predictor_error_s);
   Value("predictor_matthews").Set(s.predictor_matthews);
   Value("speculative_kills").Set(static_cast<double>(s.speculative_kills));
+  Value("replicas_wanted").Set(static_cast<double>(s.replicas.wanted));
+  Value("replicas_running").Set(static_cast<double>(s.replicas.running));
+  Value("replicas_restarted").Set(static_cast<double>(s.replicas.restarted));
+  Value("replica_seconds_without").Set(s.replicas.without_s);
   Value("rented_to_the_end").Set(static_cast<double>(s.rented_to_end));
 }
 
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -182,6 +182,19 @@
 inline constexpr double kLeastEstimateS = 1.0;
 inline constexpr double kMostEstimateRatio = 3.0;
 inline constexpr double kEstimateLearning = 0.02;
+// A replica that has run for so long (s) is well: a fetch and a start are over,
+// and a fault of the machine or of the job shows within half a second.
+inline constexpr double kReplicaStableS = 10.0;
+// A replica leaves a machine that is about to go without a place elsewhere when
+// no more than this is left (s): a report, and the end.
+inline constexpr double kReplicaLastMoveS = 3.0;
+// Room for replicas that are yet to come: arrivals of a class are counted over
+// so long (s), and the room holds those of one boot and so many jobs more.
+inline constexpr double kArrivalWindowS = 60.0;
+inline constexpr double kStandbyJobs = 1.0;
+inline constexpr size_t kMostArrivals = 200;  // remembered of a class
+// How often tasks are stopped for waiting replicas (s).
+inline constexpr double kPreemptEveryS = 0.5;
 // A service runs until it is cancelled: longer than any planning looks (s).
 inline constexpr double kServiceEstimateS = 1e5;
 // A job that has missed all of its aims lets others go first, and a large one
@@ -199,7 +212,8 @@
 // some of its usual jobs; no more than this share of all such room.
 inline constexpr double kReserveWithinS = 10.0;
 inline constexpr double kReserveMostShare = 0.12;
-inline constexpr double kReserveJobs = 1.0;  // how many usual jobs it holds
+inline constexpr double kLeastTaskCpus = 0.1;  // counted for a task
+inline constexpr double kReserveJobs = 1.0;    // how many usual jobs it holds
 // Weight of one more job in what is usual for its class.
 inline constexpr double kUsualLearning = 0.2;
 
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -86,6 +86,7 @@
   if (context_->now >= next_plan_) {
     next_plan_ = context_->now + 1;
     ChooseBase();
+    ChooseStandby();
     ChooseSurplus();
     ReturnIdle();
     Plan();
@@ -150,7 +151,7 @@
       continue;
     }
     if (m->idle_since == 0) m->idle_since = context_->now;
-    if (!m->base &&
+    if (!m->base && !m->for_services &&
         context_->now - std::max(m->idle_since, held_up_at_) > policy_.hold_s)
       Return(m, "idle");
   }
@@ -248,11 +249,7 @@
   if (spec.one_zone && !job.placed_in_zone.empty() &&
       job.placed_in_zone.begin()->first != zone)
     return false;
-  if (spot && !spec.spot) return false;
-  if (!spec.zone.empty() && spec.zone != zone) return false;
-  if (!spec.types.empty() && std::find(spec.types.begin(), spec.types.end(),
-                                       type.name) == spec.types.end())
-    return false;
+  if (!Placement::AllowsPlace(spec, type, zone, spot)) return false;
   return spec.cpus <= type.cpus && spec.gpus <= type.gpus &&
          spec.memory_gb <= type.memory_gb;
 }
@@ -284,6 +281,9 @@
     return 0;
   double& left = (*team_left)[job.spec().team];
   double count = job.pending.size() - static_cast<double>(job.waiting.size());
+  for (const auto& [task, restarts] : job.restarts)
+    if (job.pending.Contains(task) && job.HeldBack(task, context_->now))
+      count -= 1;
   if (job.failing()) count = std::min(count, 1.0);
   if (job.spec().cpus > 0)
     count = std::min(count, std::floor(left / job.spec().cpus + 1e-6));
@@ -351,7 +351,8 @@
 
 const Fleet::Offer* Fleet::Cheapest(
     const Job& job, double count, bool dear, const std::vector<Offer>& offers,
-    const std::map<std::string, int>& wanted) const {
+    const std::map<std::string, int>& wanted,
+    const std::set<std::string>& full_zones) const {
   const JobSpec& spec = job.spec();
   const auto price = [&](const Offer& offer) {
     return offer.price * Cores(spec, *offer.type) / offer.type->cpus;
@@ -364,7 +365,7 @@
   const Offer* best = nullptr;
   std::pair<double, int> best_cost;  // then the zone of which least is wanted
   for (const Offer& offer : offers) {
-    if (Refused(offer) ||
+    if (Refused(offer) || full_zones.count(offer.zone) ||
         !JobAllows(job, *offer.type, offer.zone, offer.spot) ||
         (!dear && price(offer) > cheapest * kDearRatio))
       continue;
@@ -381,29 +382,52 @@
   return best;
 }
 
+double Fleet::ZoneLeft(const Job& job, const std::string& zone,
+                       const std::map<std::string, double>& planned) {
+  if (!job.spec().spread) return kNoLimit;
+  double left = (job.spec().tasks + 1) / 2;
+  if (auto it = job.placed_in_zone.find(zone); it != job.placed_in_zone.end())
+    left -= it->second;
+  if (auto it = planned.find(zone); it != planned.end()) left -= it->second;
+  return std::max(0.0, left);
+}
+
 void Fleet::PlanJob(const Job& job, double count, std::vector<Room>* rooms,
                     std::map<std::string, int>* wanted) {
   const JobSpec& spec = job.spec();
+  std::map<std::string, double> planned;  // tasks, by zone
+  const auto take = [&](Room* room, double fit) {
+    const double each = CoreSeconds(spec, *room->type, policy_.drain_s);
+    room->core_seconds -= fit * each;
+    planned[room->zone] += fit;
+    count -= fit;
+  };
   for (Room& room : *rooms) {
     if (count < 1) return;
     if (!JobAllows(job, *room.type, room.zone, room.spot)) continue;
     const double each = CoreSeconds(spec, *room.type, policy_.drain_s);
-    const double fit = std::min(count, std::floor(room.core_seconds / each));
-    if (fit < 1) continue;
-    room.core_seconds -= fit * each;
-    count -= fit;
+    const double fit = std::min({count, std::floor(room.core_seconds / each),
+                                 ZoneLeft(job, room.zone, planned)});
+    if (fit >= 1) take(&room, fit);
   }
   const std::vector<Offer> offers = Offers();
   while (count >= 1) {
-    const Offer* best = Cheapest(job, count, /*dear=*/false, offers, *wanted);
+    std::set<std::string> full_zones;
+    if (spec.spread)
+      for (const Offer& offer : offers)
+        if (ZoneLeft(job, offer.zone, planned) < 1)
+          full_zones.insert(offer.zone);
+    // A service is rented for at any price: it runs for long.
+    const Offer* best = Cheapest(job, count, /*dear=*/spec.IsService(), offers,
+                                 *wanted, full_zones);
     if (!best) return;
     const double each = CoreSeconds(spec, *best->type, policy_.drain_s);
     Room room{best->type, best->zone, best->spot, best->type->cpus,
               best->type->cpus * policy_.drain_s};
     const double fit =
-        std::min(count, std::max(1.0, std::floor(room.core_seconds / each)));
-    room.core_seconds -= fit * each;
-    count -= fit;
+        std::min({count, std::max(1.0, std::floor(room.core_seconds / each)),
+                  ZoneLeft(job, room.zone, planned)});
+    take(&room, fit);
     rooms->push_back(room);
     ++(*wanted)[best->Key()];
   }
@@ -433,7 +457,7 @@
   std::map<std::string, double> team_left;  // core-seconds, by the team's limit
   for (Job* job : jobs_->queue()) {
     if (job->pending.empty() || job->finishing || job->failing() ||
-        context_->now < job->retry_at)
+        job->spec().IsService() || context_->now < job->retry_at)
       continue;
     const JobSpec& spec = job->spec();
     // An aim that is past, or that comes before a machine could be up and do
@@ -464,10 +488,115 @@
   }
 }
 
+bool Fleet::HoldsReplicas(const Machine& machine) {
+  return std::any_of(
+      machine.tasks.begin(), machine.tasks.end(), [](const auto& item) {
+        return item.second.job_live && item.second.record->spec.IsService();
+      });
+}
+
+// First those that hold replicas, then the cheapest, as far as the room for
+// further replicas is needed.
+void Fleet::ChooseStandby() {
+  std::vector<Machine*> candidates;
+  for (auto& [name, machine] : machines_->all()) {
+    Machine* m = machine.get();
+    m->for_services = m->type && HoldsReplicas(*m);
+    if (InPlan(*m) && m->heard) candidates.push_back(m);
+  }
+  const std::vector<Placement::Standby> needs = placement_->StandbyNeeds();
+  if (needs.empty()) return;
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const Machine* a, const Machine* b) {
+                     if (a->for_services != b->for_services)
+                       return a->for_services;
+                     return PricePerCore(*a) < PricePerCore(*b);
+                   });
+  for (const Placement::Standby& need : needs) {
+    const double of_a_zone =
+        need.usual.spec.spread ? std::ceil(need.slots / 2) : need.slots;
+    std::map<std::string, double> kept;  // slots, by zone
+    double left = need.slots;
+    for (Machine* m : candidates) {
+      if (left < 1) break;
+      m->surplus = false;  // chosen anew after this
+      const double slots = std::min({left, of_a_zone - kept[m->zone],
+                                     Placement::FreeSlots(*m, need.usual)});
+      if (slots < 1) continue;
+      kept[m->zone] += slots;
+      left -= slots;
+      m->for_services = true;
+    }
+  }
+}
+
+const Fleet::Offer* Fleet::CheapestStandby(
+    const UsualJob& usual, const std::vector<Offer>& offers,
+    const std::map<std::string, double>& free, double of_a_zone) const {
+  const Offer* best = nullptr;
+  for (const Offer& offer : offers) {
+    const auto there = free.find(offer.zone);
+    if (Refused(offer) || Placement::SlotsOf(*offer.type, usual) < 1 ||
+        !Placement::AllowsPlace(usual.spec, *offer.type, offer.zone,
+                                offer.spot) ||
+        (there != free.end() && there->second >= of_a_zone))
+      continue;
+    if (!best ||
+        offer.price / offer.type->cpus < best->price / best->type->cpus)
+      best = &offer;
+  }
+  return best;
+}
+
+void Fleet::PlanStandby(std::map<std::string, int>* wanted) {
+  const std::vector<Offer> offers = Offers();
+  for (const Placement::Standby& need : placement_->StandbyNeeds()) {
+    double pending = 0;
+    for (const auto& [id, job] : jobs_->all())
+      if (job->spec().IsService() && !job->failing())
+        pending += job->pending.size();
+    const double slots = need.slots + pending;
+    const double of_a_zone =
+        need.usual.spec.spread ? std::ceil(slots / 2) : slots;
+    std::map<std::string, double> free;  // by zone
+    const auto coming = [&](const MachineType& type, const std::string& zone,
+                            bool spot, double count) {
+      if (Placement::AllowsPlace(need.usual.spec, type, zone, spot))
+        free[zone] += count * Placement::SlotsOf(type, need.usual);
+    };
+    for (const auto& [name, machine] : machines_->all()) {
+      if (!InPlan(*machine)) continue;
+      if (machine->ever_reported)
+        free[machine->zone] += Placement::FreeSlots(*machine, need.usual);
+      else
+        coming(*machine->type, machine->zone, machine->spot, Coming(*machine));
+    }
+    for (const auto& [name, rent] : rents_)
+      if (const MachineType* type = FindType(rent.record.type);
+          type && !rent.record.answered)
+        coming(*type, rent.record.zone, rent.record.spot, rent.record.count);
+    for (const Offer& offer : offers)
+      if (auto it = wanted->find(offer.Key()); it != wanted->end())
+        coming(*offer.type, offer.zone, offer.spot, it->second);
+    const auto covered = [&] {
+      double sum = 0;
+      for (const auto& [zone, count] : free) sum += std::min(count, of_a_zone);
+      return sum;
+    };
+    while (covered() < slots) {
+      const Offer* best = CheapestStandby(need.usual, offers, free, of_a_zone);
+      if (!best) break;
+      ++(*wanted)[best->Key()];
+      coming(*best->type, best->zone, best->spot, 1);
+    }
+  }
+}
+
 void Fleet::Plan() {
   std::map<std::string, int> wanted;
   PlanCheap(&wanted);
   PlanDear(&wanted);
+  PlanStandby(&wanted);
   const std::vector<Offer> offers = Offers();
   double planned = 0;
   for (const auto& [name, machine] : machines_->all())
@@ -667,6 +796,7 @@
       [&](const Machine* a, const Machine* b) { return rank(a) < rank(b); });
   for (Machine* machine : up) {
     if (machine->base) break;
+    if (machine->for_services) continue;
     if ((capacity - machine->type->cpus) < demand * kSurplusMargin) continue;
     machine->surplus = true;
     capacity -= machine->type->cpus;
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -82,6 +82,11 @@
   void Plan();
   std::vector<Room> Rooms(double drain_s) const;
   static bool InPlan(const Machine& machine);
+  static bool HoldsReplicas(const Machine& machine);
+  const Offer* CheapestStandby(const UsualJob& usual,
+                               const std::vector<Offer>& offers,
+                               const std::map<std::string, double>& free,
+                               double of_a_zone) const;
   // How far a machine counts as room: less the later its start is.
   double Coming(const Machine& machine) const;
   // It is so late that another would be up sooner.
@@ -93,10 +98,19 @@
                std::map<std::string, int>* wanted);
   // Rents dear machines for jobs that would miss their aim on the cheap ones.
   void PlanDear(std::map<std::string, int>* wanted);
+  // Rents room for replicas that are yet to come, as far as what is up, booting
+  // or `wanted` does not hold it.
+  void PlanStandby(std::map<std::string, int>* wanted);
+  // Chooses the machines that hold replicas or the room for further ones.
+  void ChooseStandby();
   // The offer that does `count` tasks of the job for the least.
   const Offer* Cheapest(const Job& job, double count, bool dear,
                         const std::vector<Offer>& offers,
-                        const std::map<std::string, int>& wanted) const;
+                        const std::map<std::string, int>& wanted,
+                        const std::set<std::string>& full_zones = {}) const;
+  // Tasks of the job that may still be put in the zone, beside `planned`.
+  static double ZoneLeft(const Job& job, const std::string& zone,
+                         const std::map<std::string, double>& planned);
   // Pending tasks that the team's limit lets run beside what runs already.
   double Startable(const Job& job,
                    std::map<std::string, double>* team_left) const;
--- a/src/core/job_table.cc
+++ b/src/core/job_table.cc
@@ -21,9 +21,10 @@
   auto [usual, first] = usual_.try_emplace(spec.job_class);
   const double weight = first ? 1 : kUsualLearning;
   usual->second.tasks += (spec.tasks - usual->second.tasks) * weight;
-  usual->second.cpus = spec.cpus;
-  usual->second.memory_gb = spec.memory_gb;
-  usual->second.priority = spec.priority;
+  usual->second.spec = spec;
+  usual->second.arrivals.push_back(slot->record->submitted_wall_s);
+  if (usual->second.arrivals.size() > kMostArrivals)
+    usual->second.arrivals.pop_front();
   queue_stale_ = true;
   return slot.get();
 }
@@ -55,6 +56,8 @@
     for (auto& [id, job] : jobs_) queue_.push_back(job.get());
     std::sort(queue_.begin(), queue_.end(), [](const Job* a, const Job* b) {
       if (a->unbegun != b->unbegun) return a->unbegun;
+      if (a->spec().IsService() != b->spec().IsService())
+        return a->spec().IsService();
       if (a->guaranteed != b->guaranteed) return a->guaranteed;
       if (a->spec().priority != b->spec().priority)
         return a->spec().priority > b->spec().priority;
@@ -80,7 +83,10 @@
               return a->record->submitted_wall_s < b->record->submitted_wall_s;
             });
   std::map<std::string, TeamUse> earlier;
-  std::map<std::string, double> backlog_s;
+  std::map<std::string, double> backlog_s, service_cpus;
+  for (const Job* job : by_arrival)
+    if (job->spec().IsService())
+      service_cpus[job->spec().team] += job->spec().cpus * job->spec().tasks;
   for (Job* job : by_arrival) {
     const JobSpec& spec = job->spec();
     const auto team =
@@ -90,17 +96,23 @@
     const double left = job->failing() ? 1 : spec.tasks - job->done.size();
     use.cpus += left * spec.cpus;
     use.gpus += left * spec.gpus;
-    job->size_class =
-        static_cast<int>(std::log2(1 + left * spec.cpus * Estimate(spec)));
-    if (team != teams.end())  // without a limit: 0 s, so that guests go last
+    job->size_class = spec.IsService()
+                          ? 0
+                          : static_cast<int>(std::log2(1 + left * spec.cpus *
+                                                               Estimate(spec)));
+    // Without a limit: 0 s, so that guests go last. A service is no backlog: it
+    // takes its share of the limit for as long as it runs.
+    if (team != teams.end() && !spec.IsService())
       backlog_s[spec.team] +=
-          left * spec.cpus * Estimate(spec) / team->cpus_max;
+          left * spec.cpus * Estimate(spec) /
+          std::max(spec.cpus, team->cpus_max - service_cpus[spec.team]);
     job->guaranteed =
         team != teams.end() && use.cpus <= team->cpus && use.gpus <= team->gpus;
     // Not for ever: under lasting overload it would never run.
     const double age = wall - job->record->submitted_wall_s;
     if (age > kYieldS) job->size_class = 0;
-    job->late = age <= kYieldS && Slack(*job, settings.objectives, wall, 1) < 0;
+    job->late = !spec.IsService() && age <= kYieldS &&
+                Slack(*job, settings.objectives, wall, 1) < 0;
     job->unbegun = age > kBeginS && job->placed.empty() && job->done.empty() &&
                    !job->failing();
   }
@@ -137,7 +149,7 @@
 }
 
 double JobTable::Estimate(const JobSpec& spec) const {
-  if (spec.shape == Shape::kService) return kServiceEstimateS;
+  if (spec.IsService()) return kServiceEstimateS;
   auto ratio = estimate_ratio_.find(spec.job_class);
   return std::max(kLeastEstimateS, spec.estimate_s) *
          (ratio == estimate_ratio_.end() ? 1.0 : ratio->second);
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -2,6 +2,7 @@
 // done. Task numbers are kept as ranges; only placed tasks cost an entry each.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -14,6 +15,13 @@
 
 namespace sorrelwood {
 
+// How often a replica ended soon after it had started, one time after the
+// other, and before when it is not to be started again.
+struct ReplicaRestarts {
+  int quick_ends = 0;
+  double not_before = 0;
+};
+
 struct Job {
   std::shared_ptr<const LiveJob> record;
   uint64_t version = 0;
@@ -38,6 +46,10 @@
   double retry_at = 0, last_error_at = 0;
   std::map<uint32_t, int> task_errors;
   bool finishing = false;  // the final transaction is under way
+  // Of a service: a replica has run long enough to be well, and what ended
+  // soon.
+  bool replica_succeeded = false;
+  std::map<uint32_t, ReplicaRestarts> restarts;
 
   // Where it stands in the queue, see JobTable::Rank.
   bool unbegun = false;  // nothing of it has run for too long
@@ -54,11 +66,19 @@
   // task at a time, and claims no more than that. Guards against a job that
   // fails everywhere taking room, rent and guarantee from others.
   bool failing() const {
-    return done.empty() && error_machines.size() >= kSuspectJobMachines;
+    return !succeeded() && error_machines.size() >= kSuspectJobMachines;
   }
   // So many that the machines are not at fault.
   bool broken() const {
-    return done.empty() && error_machines.size() >= kBadJobMachines;
+    return !succeeded() && error_machines.size() >= kBadJobMachines;
+  }
+
+  // A task of it has run as it should, somewhere.
+  bool succeeded() const { return !done.empty() || replica_succeeded; }
+  // A replica that keeps ending is not to be started yet.
+  bool HeldBack(uint32_t task, double now) const {
+    const auto it = restarts.find(task);
+    return it != restarts.end() && now < it->second.not_before;
   }
 
   const JobSpec& spec() const { return record->spec; }
@@ -67,8 +87,9 @@
 
 // What a job of a class usually asks for.
 struct UsualJob {
-  double tasks = 0, cpus = 0, memory_gb = 0;
-  Priority priority = Priority::kStandard;
+  double tasks = 0;             // smoothed
+  JobSpec spec;                 // of the latest
+  std::deque<double> arrivals;  // of the latest jobs (time of day, s)
 };
 
 struct TeamUse {
@@ -84,7 +105,8 @@
   Job* Find(const std::string& id);
 
   // The order in which work is looked at. First what has waited too long to
-  // begin, so that no order starves it; then what lies within its team's
+  // begin, so that no order starves it; then services, which are few and wait
+  // for nobody; then what lies within its team's
   // guarantee, since that need not wait for other teams; then by priority; then
   // what can still meet its deadline before what can't; then the team that
   // would take longest for what it has at its limit; then the smaller job; then
@@ -113,6 +135,7 @@
 
   // Nothing until a job of the class has been seen.
   const UsualJob* Usual(const std::string& job_class) const;
+  const std::map<std::string, UsualJob>& usual_jobs() const { return usual_; }
 
   TeamUse use(const std::string& team) const {
     auto it = use_.find(team);
--- a/src/core/machine_table.cc
+++ b/src/core/machine_table.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/job_table.h"
+
 namespace sorrelwood {
 
 void Machine::Hold(const TaskKey& key, Placed placed) {
@@ -48,6 +50,18 @@
   return slot.get();
 }
 
+size_t MachineTable::RunningReplicas(const Job& job) const {
+  size_t running = 0;
+  for (const auto& [task, name] : job.placed) {
+    const auto machine = machines_.find(name);
+    if (machine == machines_.end()) continue;
+    const auto it = machine->second->tasks.find({job.id(), task});
+    if (it != machine->second->tasks.end() && it->second.running_since > 0)
+      ++running;
+  }
+  return running;
+}
+
 void MachineTable::Remove(const std::string& name) {
   machines_.erase(name);
   gone_.insert(name);
--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -13,6 +13,8 @@
 
 namespace sorrelwood {
 
+struct Job;
+
 using TaskKey = std::pair<std::string, uint32_t>;  // job, task number
 
 enum class PlacedPhase {
@@ -58,6 +60,8 @@
   double missing_since = 0;  // not in the lists since; 0: it is
   bool base = false;         // part of the steady base, the owned room
   bool surplus = false;      // more than what is needed: to be emptied
+  // Holds replicas, or room that is kept for them: neither idle nor surplus.
+  bool for_services = false;
   bool was_surplus = false;  // a moment before
   bool set_aside = false;    // faulty: drained and returned
   bool releasing = false;
@@ -115,6 +119,9 @@
   void Clear();
   std::map<std::string, std::unique_ptr<Machine>>& all() { return machines_; }
 
+  // Replicas of the service that were reported to run.
+  size_t RunningReplicas(const Job& job) const;
+
   // Machines that were returned or are proved gone: their late reports and
   // stale list entries are ignored.
   bool Gone(const std::string& name) const { return gone_.count(name) > 0; }
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -42,33 +42,44 @@
 }
 
 // The first task of a job that has waited too long to begin goes with the
-// guaranteed work, so that no stream of it starves the job.
+// guaranteed work, so that no stream of it starves the job; and so do replicas,
+// since the time without them is what counts.
 bool Placement::GoesFirst(const Job& job) const {
-  return (job.unbegun && job.placed.empty()) || WithinGuarantee(job);
+  return job.spec().IsService() || (job.unbegun && job.placed.empty()) ||
+         WithinGuarantee(job);
 }
 
 bool Placement::Allowed(const Job& job, const Machine& machine) const {
   const JobSpec& spec = job.spec();
-  if (machine.spot && !spec.spot) return false;
   // It failed there: another machine tells which of the two is at fault.
   if (!job.error_machines.empty() &&
       context_->now < job.last_error_at + kErrorAvoidS &&
       job.error_machines.count(machine.name))
     return false;
-  if (!spec.zone.empty() && machine.zone != spec.zone) return false;
-  if (!spec.types.empty() && std::find(spec.types.begin(), spec.types.end(),
-                                       machine.type_name) == spec.types.end())
+  if (!machine.type ||
+      !AllowsPlace(spec, *machine.type, machine.zone, machine.spot))
     return false;
   if (spec.one_zone && !job.placed_in_zone.empty() &&
       (job.placed_in_zone.size() > 1 ||
        job.placed_in_zone.begin()->first != machine.zone))
     return false;
-  if (spec.spread) {
-    auto it = job.placed_in_zone.find(machine.zone);
-    if (it != job.placed_in_zone.end() && it->second >= (spec.tasks + 1) / 2)
-      return false;
-  }
-  return true;
+  return SpreadAllows(job, machine.zone, 0);
+}
+
+bool Placement::SpreadAllows(const Job& job, const std::string& zone,
+                             uint32_t more) {
+  if (!job.spec().spread) return true;
+  const auto it = job.placed_in_zone.find(zone);
+  const uint32_t there = it == job.placed_in_zone.end() ? 0 : it->second;
+  return there + more < (job.spec().tasks + 1) / 2;
+}
+
+bool Placement::AllowedInsteadOf(const Job& job, const Machine& machine,
+                                 const Machine& from) const {
+  if (Allowed(job, machine)) return true;
+  // Only the task that leaves may be in the way: its zone is freed.
+  return machine.type && machine.zone == from.zone &&
+         AllowsPlace(job.spec(), *machine.type, machine.zone, machine.spot);
 }
 
 bool Placement::Usable(const Machine& machine) const {
@@ -83,7 +94,7 @@
          context_->now - machine.reached_at < silence;
 }
 
-std::optional<uint32_t> Placement::NextTask(const Job& job, bool owned) {
+std::optional<uint32_t> Placement::NextTask(const Job& job, bool owned) const {
   if (job.failing() && !job.placed.empty()) return std::nullopt;
   if (owned) {
     for (const auto& [task, since] : job.waiting)
@@ -92,7 +103,8 @@
   }
   for (const auto& [first, last] : job.pending.ranges())
     for (uint32_t task = first; task < last; ++task)
-      if (!job.waiting.count(task)) return task;
+      if (!job.waiting.count(task) && !job.HeldBack(task, context_->now))
+        return task;
   return std::nullopt;
 }
 
@@ -115,25 +127,84 @@
 
 double Placement::Slots(const Machine& machine, const UsualJob& usual,
                         double less_cpus, double less_memory_gb) {
-  if (!machine.type || machine.surplus) return 0;
+  if (!machine.type || machine.surplus ||
+      !AllowsPlace(usual.spec, *machine.type, machine.zone, machine.spot))
+    return 0;
   const double cpus = machine.cpus_free() - less_cpus;
   const double memory_gb =
       machine.type->memory_gb - machine.memory_used - less_memory_gb;
-  double slots = cpus / std::max(usual.cpus, 0.1);
-  if (usual.memory_gb > 0) slots = std::min(slots, memory_gb / usual.memory_gb);
+  double slots = cpus / std::max(usual.spec.cpus, kLeastTaskCpus);
+  if (usual.spec.memory_gb > 0)
+    slots = std::min(slots, memory_gb / usual.spec.memory_gb);
   return std::max(0.0, std::floor(slots + 1e-6));
 }
 
+bool Placement::AllowsPlace(const JobSpec& spec, const MachineType& type,
+                            const std::string& zone, bool spot) {
+  if (spot && !spec.spot) return false;
+  if (!spec.zone.empty() && spec.zone != zone) return false;
+  return spec.types.empty() || std::find(spec.types.begin(), spec.types.end(),
+                                         type.name) != spec.types.end();
+}
+
+double Placement::FreeSlots(const Machine& machine, const UsualJob& usual) {
+  return Slots(machine, usual, 0, 0);
+}
+
+double Placement::SlotsOf(const MachineType& type, const UsualJob& usual) {
+  double slots = type.cpus / std::max(usual.spec.cpus, kLeastTaskCpus);
+  if (usual.spec.memory_gb > 0)
+    slots = std::min(slots, type.memory_gb / usual.spec.memory_gb);
+  return std::floor(slots + 1e-6);
+}
+
+double Placement::Reserve::Covered() const {
+  const double of_a_zone = usual.spec.spread ? std::ceil(slots / 2) : slots;
+  double covered = 0;
+  for (const auto& [zone, count] : free) covered += std::min(count, of_a_zone);
+  return covered;
+}
+
+double Placement::ShortestBootS() const {
+  double shortest = kNoLimit;
+  for (const auto& [name, machine] : machines_->all())
+    if (machine->type) shortest = std::min(shortest, machine->type->boot_s);
+  return shortest == kNoLimit ? 0 : shortest;
+}
+
+// What arrives while a machine boots, and one job more.
+double Placement::StandbySlots(const UsualJob& usual) const {
+  const auto recent = std::count_if(
+      usual.arrivals.begin(), usual.arrivals.end(),
+      [&](double at) { return context_->wall - at < kArrivalWindowS; });
+  const double in_a_boot =
+      static_cast<double>(recent) * ShortestBootS() / kArrivalWindowS;
+  return std::ceil(usual.tasks * (kStandbyJobs + in_a_boot));
+}
+
+std::vector<Placement::Standby> Placement::StandbyNeeds() const {
+  std::vector<Standby> needs;
+  for (const auto& [job_class, usual] : jobs_->usual_jobs())
+    if (usual.spec.IsService()) needs.push_back({usual, StandbySlots(usual)});
+  return needs;
+}
+
 void Placement::MeasureReserves() {
   reserves_.clear();
   reserves_stale_ = false;
-  for (const Objective& objective : settings_->objectives) {
-    if (objective.kind != "wait" || objective.within_s > kReserveWithinS)
-      continue;
-    const UsualJob* usual = jobs_->Usual(objective.job_class);
+  std::vector<std::string> classes;
+  for (const Objective& objective : settings_->objectives)
+    if (objective.kind == "wait" && objective.within_s <= kReserveWithinS)
+      classes.push_back(objective.job_class);
+  for (const auto& [job_class, usual] : jobs_->usual_jobs())
+    if (usual.spec.IsService() &&
+        std::find(classes.begin(), classes.end(), job_class) == classes.end())
+      classes.push_back(job_class);
+  for (const std::string& job_class : classes) {
+    const UsualJob* usual = jobs_->Usual(job_class);
     if (!usual) continue;
     Reserve reserve;
-    reserve.job_class = objective.job_class;
+    reserve.job_class = job_class;
     reserve.usual = *usual;
     double total = 0;
     context_->work += machines_->all().size();
@@ -142,12 +213,14 @@
       machine->reserve_slots.resize(index + 1);
       double& slots = machine->reserve_slots[index] = 0;
       if (!Usable(*machine)) continue;
-      reserve.free += slots = Slots(*machine, *usual, 0, 0);
+      reserve.free[machine->zone] += slots = Slots(*machine, *usual, 0, 0);
       total +=
           Slots(*machine, *usual, -machine->cpus_used, -machine->memory_used);
     }
-    reserve.slots = std::min(std::ceil(usual->tasks * kReserveJobs),
-                             total * kReserveMostShare);
+    reserve.slots = usual->spec.IsService()
+                        ? StandbySlots(*usual)
+                        : std::min(std::ceil(usual->tasks * kReserveJobs),
+                                   total * kReserveMostShare);
     reserves_.push_back(std::move(reserve));
   }
 }
@@ -157,7 +230,7 @@
   for (size_t i = 0; i < reserves_.size(); ++i) {
     double& counted = machine->reserve_slots[i];
     const double slots = Slots(*machine, reserves_[i].usual, 0, 0);
-    reserves_[i].free += slots - counted;
+    reserves_[i].free[machine->zone] += slots - counted;
     counted = slots;
   }
 }
@@ -172,13 +245,15 @@
   const JobSpec& spec = job.spec();
   for (const Reserve& reserve : reserves_) {
     if (reserve.job_class == spec.job_class ||
-        spec.priority > reserve.usual.priority)
+        spec.priority > reserve.usual.spec.priority)
       continue;
     const double before = Slots(machine, reserve.usual, 0, 0);
     const double after =
         Slots(machine, reserve.usual, spec.cpus, spec.memory_gb);
-    if (after < before && reserve.free - before + after < reserve.slots)
-      return false;
+    if (after >= before) continue;
+    Reserve then = reserve;
+    then.free[machine.zone] += after - before;
+    if (then.Covered() < reserve.slots) return false;
   }
   return true;
 }
@@ -194,7 +269,7 @@
                             bool owned_only,
                             const std::vector<const Job*>& owed) const {
   Machine* best = nullptr;
-  std::tuple<bool, bool, double, bool, bool, double, bool> best_rank;
+  std::tuple<bool, bool, size_t, double, bool, bool, double, bool> best_rank;
   const bool at_once = StartsAtOnce(job);
   context_->work += candidates.size();
   for (Machine* machine : candidates) {
@@ -206,9 +281,10 @@
     // long beside the task. What is to start at once goes where its image is,
     // and among such machines to the next to report.
     const bool fetch = !machine->HasImage(job.spec().image);
-    const std::tuple<bool, bool, double, bool, bool, double, bool> rank{
+    const std::tuple<bool, bool, size_t, double, bool, bool, double, bool> rank{
         machine->surplus,
         at_once && fetch,
+        ReplicasOn(job, *machine),
         at_once ? machine->last_report : 0,
         !machine->base,
         fetch && LongFetch(job, *machine),
@@ -221,6 +297,13 @@
   return best;
 }
 
+size_t Placement::ReplicasOn(const Job& job, const Machine& machine) {
+  if (!job.spec().IsService()) return 0;
+  return static_cast<size_t>(std::count_if(
+      job.placed.begin(), job.placed.end(),
+      [&](const auto& item) { return item.second == machine.name; }));
+}
+
 bool Placement::LongFetch(const Job& job, const Machine& machine) const {
   return job.spec().image_gb > kLongFetchShare * jobs_->Estimate(job.spec()) *
                                    machine.type->fetch_gb_per_s;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -2,7 +2,9 @@
 // first jobs near the front that fit. Every check that a rule needs is here.
 #pragma once
 
+#include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "core/context.h"
@@ -34,11 +36,17 @@
   bool GoesFirst(const Job& job) const;
   // Type, zone, kind and the job's other tasks allow the machine.
   bool Allowed(const Job& job, const Machine& machine) const;
+  // The same for a task of the job that leaves `from`.
+  bool AllowedInsteadOf(const Job& job, const Machine& machine,
+                        const Machine& from) const;
+  // `more` and one further task in the zone keep the job spread over zones.
+  static bool SpreadAllows(const Job& job, const std::string& zone,
+                           uint32_t more);
   bool Usable(const Machine& machine) const;
   // It reports, and what we answer arrives there.
   bool InReach(const Machine& machine) const;
   // The next pending task; `owned` asks for those that wait for owned room.
-  static std::optional<uint32_t> NextTask(const Job& job, bool owned);
+  std::optional<uint32_t> NextTask(const Job& job, bool owned) const;
 
   // Room that machines with unknown tasks may take of any team's limit: guards
   // against a new leader going over a limit with what the old one placed.
@@ -51,6 +59,19 @@
 
   void Assign(Job* job, uint32_t task, Machine* machine, uint64_t term);
 
+  // Room that is to be kept for replicas that are yet to come.
+  struct Standby {
+    UsualJob usual;
+    double slots = 0;  // for so many replicas
+  };
+  std::vector<Standby> StandbyNeeds() const;
+  // Usual tasks that the machine has room for beside what it holds, and empty.
+  static double FreeSlots(const Machine& machine, const UsualJob& usual);
+  static double SlotsOf(const MachineType& type, const UsualJob& usual);
+  // The job names the type, the zone and the kind, or none of them.
+  static bool AllowsPlace(const JobSpec& spec, const MachineType& type,
+                          const std::string& zone, bool spot);
+
   // Stops what teams run beyond their guarantee, as far as others wait for
   // theirs and it can save its progress.
   void MakeRoom();
@@ -62,8 +83,10 @@
   struct Reserve {
     std::string job_class;
     UsualJob usual;
-    double slots = 0;  // that are to stay free
-    double free = 0;   // that are free now
+    double slots = 0;                    // that are to stay free
+    std::map<std::string, double> free;  // that are free now, by zone
+    // Free slots that count: of a zone no more than may be in one.
+    double Covered() const;
   };
   // Counted over the fleet at each pass only: guards against a leader whose
   // every report costs a look at all machines. In between each machine is
@@ -73,10 +96,14 @@
   void Recount(Machine* machine);
   static double Slots(const Machine& machine, const UsualJob& usual,
                       double less_cpus, double less_memory_gb);
+  double StandbySlots(const UsualJob& usual) const;
+  double ShortestBootS() const;
   // A task of `job` on the machine leaves the reserves whole, or is one of
   // those that they are for.
   bool LeavesReserves(const Job& job, const Machine& machine) const;
   bool StartsAtOnce(const Job& job) const;
+  // Replicas of the job on the machine: they are kept apart where room allows.
+  static size_t ReplicasOn(const Job& job, const Machine& machine);
   void AssignCounted(Job* job, uint32_t task, Machine* machine, uint64_t term);
 
   // The jobs near the front of the queue that may have a task started.
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -25,6 +25,8 @@
       progress_(&jobs_, &writer_, limits),
       fleet_(context, &jobs_, &machines_, &placement_, &writer_, limits,
              settings, policy),
+      replicas_(context, &jobs_, &machines_, &placement_),
+      preemption_(context, &jobs_, &machines_, &placement_, settings),
       waiting_(context, &jobs_, &machines_, policy, seed) {
   fleet_.on_gone = [this](Machine* machine) { DropEverything(machine); };
 }
@@ -349,6 +351,9 @@
     if (Job* job = jobs_.Find(task.job)) waiting_.LearnStart(job, *machine);
   }
   placed->state = task.state;
+  if (placed->running_since > 0 && placed->record->spec.IsService())
+    if (Job* job = jobs_.Find(task.job))
+      replicas_.Running(job, task.task, placed->running_since);
 }
 
 // A task that an earlier leader placed, or that nobody should have.
@@ -395,13 +400,19 @@
   Job* job = jobs_.Find(task.job);
   const bool waiting = placed && placed->requeue_waiting;
   const bool rented = placed && placed->requeue_rented;
+  const bool told_to_stop = placed && placed->stop;
   const double ran = placed && placed->running_since > 0
                          ? context_->now - placed->running_since
                          : 0;
   if (placed) DropTask(machine, machine->tasks.find(key));
+  if (placed && !told_to_stop && job && job->spec().IsService() &&
+      task.reason != ExitReason::kStopped)
+    replicas_.Ended(job, task.task, ran);
   switch (task.reason) {
     case ExitReason::kDone:
       if (!job || task.task >= job->spec().tasks) return;
+      // It is to run until its job is cancelled.
+      if (job->spec().IsService()) return;
       // A task that saved before may run only its rest: not a sample.
       if (ran > 0 && job->spec().checkpoint_s == 0)
         jobs_.LearnRunTime(job->spec(), ran);
@@ -482,7 +493,7 @@
 // is not; one that has failed on several machines and succeeded nowhere is.
 // Until that is known its failure counts once against the machine.
 void Scheduler::Failed(Machine* machine, Job* job, uint32_t task) {
-  const bool proven = !job->done.empty();
+  const bool proven = job->succeeded();
   if (context_->debug)
     context_->Debug("failed " + job->id() + "/" + std::to_string(task) +
                     " on " + machine->name);
@@ -513,7 +524,7 @@
   for (const auto& [id, errors] : machine->errors) {
     const Job* job = jobs_.Find(id);
     if (!job || job->broken()) continue;  // it was the job, or can't be told
-    if (job->done.empty())
+    if (!job->succeeded())
       ++unproven;
     else
       proven += errors;
@@ -540,7 +551,8 @@
   const double left = machine->notice_until - context_->now;
   for (auto& [key, placed] : machine->tasks) {
     const Job* job = jobs_.Find(key.first);
-    if (!job) continue;
+    // A replica goes once there is a place for it: ReplicaKeeper.
+    if (!job || job->spec().IsService()) continue;
     const double ran =
         placed.running_since > 0 ? context_->now - placed.running_since : 0;
     const bool ends = placed.running_since > 0 &&
@@ -563,7 +575,9 @@
     if (task.state == TaskState::kExited) {
       // A completion is cleared only once it is written down, or the job has
       // ended: guards against a result that a crash would make us forget.
+      // A replica is never complete.
       const bool keep = task.reason == ExitReason::kDone && job &&
+                        !job->spec().IsService() &&
                         !job->committed.Contains(task.task);
       if (!keep)
         orders.push_back(
@@ -649,8 +663,14 @@
   if (context_->now >= next_policy_) {
     next_policy_ = context_->now + 1;
     waiting_.Tick();
+    replicas_.LeaveDepartingMachines();
     if (leadership_->MayLaunch()) placement_.MakeRoom();
   }
+  replicas_.CountTime();
+  if (context_->now >= next_preemption_) {
+    next_preemption_ = context_->now + kPreemptEveryS;
+    if (leadership_->MayLaunch()) preemption_.MakeRoomForServices();
+  }
   if (context_->now >= next_rank_) {
     next_rank_ = context_->now + kRankEveryS;
     jobs_.Rank(*settings_, context_->wall);
@@ -899,7 +919,10 @@
   if (!active_) return counts;
   for (const auto& [id, job] : jobs_.all())
     counts.push_back(
-        {id, job->done.size(), static_cast<uint32_t>(job->placed.size())});
+        {id, job->done.size(),
+         static_cast<uint32_t>(job->spec().IsService()
+                                   ? machines_.RunningReplicas(*job)
+                                   : job->placed.size())});
   return counts;
 }
 
@@ -920,6 +943,7 @@
   f.predictor_samples = waiting_.predictor().samples();
   f.speculative_kills = waiting_.killed();
   f.rented_to_end = waiting_.rented();
+  f.replicas = replicas_.Measure();
   return f;
 }
 
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -14,7 +14,9 @@
 #include "core/leadership.h"
 #include "core/machine_table.h"
 #include "core/placement.h"
+#include "core/preemption.h"
 #include "core/progress_store.h"
+#include "core/replicas.h"
 #include "core/state_limits.h"
 #include "core/waiting_policy.h"
 #include "core/writer.h"
@@ -46,6 +48,7 @@
     double predictor_error_s = 0, predictor_matthews = 0;
     size_t predictor_samples = 0;
     uint64_t speculative_kills = 0, rented_to_end = 0;
+    ReplicaKeeper::Figures replicas;
   };
   Figures Measure();
 
@@ -93,13 +96,15 @@
   Writer writer_;
   ProgressStore progress_;
   Fleet fleet_;
+  ReplicaKeeper replicas_;
+  Preemption preemption_;
   WaitingPolicy waiting_;
 
   bool active_ = false;
   uint64_t generation_ = 0;
   double elected_at_ = 0;
   double next_place_ = 0, next_silence_ = 0, next_write_ = 0, next_policy_ = 0,
-         next_rank_ = 0, next_debug_ = 0;
+         next_rank_ = 0, next_debug_ = 0, next_preemption_ = 0;
   double reload_at_ = 0;  // 0: no reading of the records has failed
   std::deque<std::string>
       complete_;  // jobs whose end is to be written, in turn
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -33,6 +33,8 @@
   double checkpoint_s = 0;
   double save_s = 0;
   std::optional<double> deadline_s;
+
+  bool IsService() const { return shape == Shape::kService; }
 };
 
 struct MachineType {
--- a/src/core/waiting_policy.cc
+++ b/src/core/waiting_policy.cc
@@ -76,7 +76,7 @@
           context_->now - placed.running_since < policy_.speculation_s)
         continue;
       Job* job = jobs_->Find(key.first);
-      if (!job || job->spec().shape == Shape::kService) continue;
+      if (!job || job->spec().IsService()) continue;
       // Until the first fit all jobs wait.
       const auto wait = predictor_.Predict(ToVector(Observe(job->spec().cpus)));
       placed.stop = true;
