--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -495,6 +495,29 @@
       });
 }
 
+std::vector<Placement::Standby> Fleet::StandbyNeeds() const {
+  std::vector<Placement::Standby> needs = placement_->StandbyNeeds();
+  const bool unseen =
+      std::any_of(settings_->objectives.begin(), settings_->objectives.end(),
+                  [&](const Objective& objective) {
+                    return objective.kind == "wait" &&
+                           objective.within_s <= kReserveWithinS &&
+                           !jobs_->Usual(objective.job_class);
+                  });
+  const MachineType* smallest = nullptr;
+  for (const auto& [name, type] : types_)
+    if (!smallest || type.price < smallest->price) smallest = &type;
+  if (!unseen || !smallest) return needs;
+  Placement::Standby need;
+  need.slots = kUnseenStandbyMachines;
+  need.usual.spec.shape = Shape::kService;
+  need.usual.spec.priority = Priority::kProduction;
+  need.usual.spec.cpus = smallest->cpus;
+  need.usual.spec.spread = true;
+  needs.push_back(need);
+  return needs;
+}
+
 // First those that hold replicas, then the cheapest, as far as the room for
 // further replicas is needed.
 void Fleet::ChooseStandby() {
@@ -504,7 +527,7 @@
     m->for_services = m->type && HoldsReplicas(*m);
     if (InPlan(*m) && m->heard) candidates.push_back(m);
   }
-  const std::vector<Placement::Standby> needs = placement_->StandbyNeeds();
+  const std::vector<Placement::Standby> needs = StandbyNeeds();
   if (needs.empty()) return;
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const Machine* a, const Machine* b) {
@@ -513,15 +536,14 @@
                      return PricePerCore(*a) < PricePerCore(*b);
                    });
   for (const Placement::Standby& need : needs) {
-    const double of_a_zone =
-        need.usual.spec.spread ? std::ceil(need.slots / 2) : need.slots;
+    const double of_a_zone = need.OfAZone();
     std::map<std::string, double> kept;  // slots, by zone
     double left = need.slots;
     for (Machine* m : candidates) {
       if (left < 1) break;
       m->surplus = false;  // chosen anew after this
       const double slots = std::min({left, of_a_zone - kept[m->zone],
-                                     Placement::FreeSlots(*m, need.usual)});
+                                     Placement::StandbyRoom(*m, need.usual)});
       if (slots < 1) continue;
       kept[m->zone] += slots;
       left -= slots;
@@ -550,14 +572,11 @@
 
 void Fleet::PlanStandby(std::map<std::string, int>* wanted) {
   const std::vector<Offer> offers = Offers();
-  for (const Placement::Standby& need : placement_->StandbyNeeds()) {
-    double pending = 0;
+  for (Placement::Standby& need : StandbyNeeds()) {
     for (const auto& [id, job] : jobs_->all())
-      if (job->spec().IsService() && !job->failing())
-        pending += job->pending.size();
-    const double slots = need.slots + pending;
-    const double of_a_zone =
-        need.usual.spec.spread ? std::ceil(slots / 2) : slots;
+      if (job->spec().job_class == need.job_class && !job->failing())
+        need.slots += job->pending.size();
+    const double of_a_zone = need.OfAZone();
     std::map<std::string, double> free;  // by zone
     const auto coming = [&](const MachineType& type, const std::string& zone,
                             bool spot, double count) {
@@ -567,7 +586,7 @@
     for (const auto& [name, machine] : machines_->all()) {
       if (!InPlan(*machine)) continue;
       if (machine->ever_reported)
-        free[machine->zone] += Placement::FreeSlots(*machine, need.usual);
+        free[machine->zone] += Placement::StandbyRoom(*machine, need.usual);
       else
         coming(*machine->type, machine->zone, machine->spot, Coming(*machine));
     }
@@ -583,7 +602,7 @@
       for (const auto& [zone, count] : free) sum += std::min(count, of_a_zone);
       return sum;
     };
-    while (covered() < slots) {
+    while (covered() < need.slots) {
       const Offer* best = CheapestStandby(need.usual, offers, free, of_a_zone);
       if (!best) break;
       ++(*wanted)[best->Key()];
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -101,6 +101,8 @@
   // Rents room for replicas that are yet to come, as far as what is up, booting
   // or `wanted` does not hold it.
   void PlanStandby(std::map<std::string, int>* wanted);
+  // What replicas that are yet to come may need, of classes seen and not.
+  std::vector<Placement::Standby> StandbyNeeds() const;
   // Chooses the machines that hold replicas or the room for further ones.
   void ChooseStandby();
   // The offer that does `count` tasks of the job for the least.
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -147,8 +147,15 @@
                                          type.name) != spec.types.end();
 }
 
-double Placement::FreeSlots(const Machine& machine, const UsualJob& usual) {
-  return Slots(machine, usual, 0, 0);
+double Placement::StandbyRoom(const Machine& machine, const UsualJob& usual) {
+  double cpus = 0, memory_gb = 0;
+  for (const auto& [key, placed] : machine.tasks) {
+    const JobSpec& spec = placed.record->spec;
+    if (spec.IsService() || spec.priority >= usual.spec.priority) continue;
+    cpus += placed.cpus;
+    memory_gb += placed.memory_gb;
+  }
+  return Slots(machine, usual, -cpus, -memory_gb);
 }
 
 double Placement::SlotsOf(const MachineType& type, const UsualJob& usual) {
@@ -172,20 +179,25 @@
   return shortest == kNoLimit ? 0 : shortest;
 }
 
-// What arrives while a machine boots, and one job more.
+// What arrives while a machine boots, and one job more. While few have come the
+// time since the first tells the rate.
 double Placement::StandbySlots(const UsualJob& usual) const {
   const auto recent = std::count_if(
       usual.arrivals.begin(), usual.arrivals.end(),
       [&](double at) { return context_->wall - at < kArrivalWindowS; });
-  const double in_a_boot =
-      static_cast<double>(recent) * ShortestBootS() / kArrivalWindowS;
+  const double span = usual.arrivals.empty()
+                          ? kArrivalWindowS
+                          : std::clamp(context_->wall - usual.arrivals.front(),
+                                       kLeastArrivalSpanS, kArrivalWindowS);
+  const double in_a_boot = static_cast<double>(recent) * ShortestBootS() / span;
   return std::ceil(usual.tasks * (kStandbyJobs + in_a_boot));
 }
 
 std::vector<Placement::Standby> Placement::StandbyNeeds() const {
   std::vector<Standby> needs;
   for (const auto& [job_class, usual] : jobs_->usual_jobs())
-    if (usual.spec.IsService()) needs.push_back({usual, StandbySlots(usual)});
+    if (usual.spec.IsService())
+      needs.push_back({job_class, usual, StandbySlots(usual)});
   return needs;
 }
 
@@ -218,7 +230,7 @@
           Slots(*machine, *usual, -machine->cpus_used, -machine->memory_used);
     }
     reserve.slots = usual->spec.IsService()
-                        ? StandbySlots(*usual)
+                        ? std::ceil(usual->tasks * kReserveJobs)
                         : std::min(std::ceil(usual->tasks * kReserveJobs),
                                    total * kReserveMostShare);
     reserves_.push_back(std::move(reserve));
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -2,6 +2,7 @@
 // first jobs near the front that fit. Every check that a rule needs is here.
 #pragma once
 
+#include <cmath>
 #include <map>
 #include <optional>
 #include <string>
@@ -59,14 +60,21 @@
 
   void Assign(Job* job, uint32_t task, Machine* machine, uint64_t term);
 
-  // Room that is to be kept for replicas that are yet to come.
+  // Room that is to be there for replicas that are yet to come. Other work may
+  // use it meanwhile, but for the room of one usual job.
   struct Standby {
+    std::string job_class;
     UsualJob usual;
     double slots = 0;  // for so many replicas
+    // Slots that count in one zone, so that a job can be spread.
+    double OfAZone() const {
+      return usual.spec.spread ? std::ceil(slots / 2) : slots;
+    }
   };
   std::vector<Standby> StandbyNeeds() const;
-  // Usual tasks that the machine has room for beside what it holds, and empty.
-  static double FreeSlots(const Machine& machine, const UsualJob& usual);
+  // Usual tasks that the machine has room for beside what it holds, all that
+  // may be stopped for them left out.
+  static double StandbyRoom(const Machine& machine, const UsualJob& usual);
   static double SlotsOf(const MachineType& type, const UsualJob& usual);
   // The job names the type, the zone and the kind, or none of them.
   static bool AllowsPlace(const JobSpec& spec, const MachineType& type,
