Replicas claim their team's limit; services and rolls in the simulated cluster

Cause: in the simulated cluster a service beside a full team waited on while other tasks of the team took each CPU that was freed for it; flaky services had machines returned as faulty. Replicas that wait now claim their part of the limit, tasks of lower priority of their own team stop where it is full, and a service that ends by itself tells nothing of machines.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -192,10 +192,10 @@
 // so long (s), and the room holds those of one boot and so many jobs more.
 inline constexpr double kArrivalWindowS = 60.0;
 inline constexpr double kLeastArrivalSpanS = 20.0;
-inline constexpr double kStandbyJobs = 1.0;
+inline constexpr double kStandbyJobs = 2.0;
 // A class that is to start at once and of which nothing has come yet may need
 // any machine: so many of the cheapest ordinary ones are kept, spread.
-inline constexpr double kUnseenStandbyMachines = 4.0;
+inline constexpr double kUnseenStandbyMachines = 6.0;
 inline constexpr size_t kMostArrivals = 200;  // remembered of a class
 // How often tasks are stopped for waiting replicas (s).
 inline constexpr double kPreemptEveryS = 0.5;
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -280,11 +280,8 @@
   if (job.pending.empty() || job.finishing || context_->now < job.retry_at)
     return 0;
   double& left = (*team_left)[job.spec().team];
-  double count = job.pending.size() - static_cast<double>(job.waiting.size());
-  for (const auto& [task, restarts] : job.restarts)
-    if (job.pending.Contains(task) && job.HeldBack(task, context_->now))
-      count -= 1;
-  if (job.failing()) count = std::min(count, 1.0);
+  double count =
+      job.PendingNow(context_->now) - static_cast<double>(job.waiting.size());
   if (job.spec().cpus > 0)
     count = std::min(count, std::floor(left / job.spec().cpus + 1e-6));
   count = std::max(0.0, count);
@@ -497,7 +494,9 @@
 
 std::vector<Placement::Standby> Fleet::StandbyNeeds() const {
   std::vector<Placement::Standby> needs = placement_->StandbyNeeds();
+  // While there is no work at all nothing is kept for what may come.
   const bool unseen =
+      !jobs_->all().empty() &&
       std::any_of(settings_->objectives.begin(), settings_->objectives.end(),
                   [&](const Objective& objective) {
                     return objective.kind == "wait" &&
--- a/src/core/job_table.cc
+++ b/src/core/job_table.cc
@@ -7,6 +7,13 @@
 
 namespace sorrelwood {
 
+uint32_t Job::PendingNow(double now) const {
+  uint32_t count = pending.size();
+  for (const auto& [task, ends] : restarts)
+    if (now < ends.not_before && pending.Contains(task)) --count;
+  return failing() ? std::min(count, 1u) : count;
+}
+
 Job* JobTable::Add(std::shared_ptr<const LiveJob> record, uint64_t version,
                    bool inherited, double now) {
   auto& slot = jobs_[record->spec.id];
@@ -39,6 +46,7 @@
   last_found_ = nullptr;
   jobs_.clear();
   queue_.clear();
+  services_.clear();
   use_.clear();
   queue_stale_ = true;
 }
@@ -69,11 +77,19 @@
         return a->record->submitted_wall_s < b->record->submitted_wall_s;
       return a->id() < b->id();
     });
+    services_.clear();
+    for (Job* job : queue_)
+      if (job->spec().IsService()) services_.push_back(job);
     queue_stale_ = false;
   }
   return queue_;
 }
 
+const std::vector<Job*>& JobTable::services() {
+  queue();
+  return services_;
+}
+
 void JobTable::Rank(const ClusterSettings& settings, double wall) {
   const std::vector<Team>& teams = settings.teams;
   std::vector<Job*> by_arrival;
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -49,6 +49,7 @@
   // Of a service: a replica has run long enough to be well, and what ended
   // soon.
   bool replica_succeeded = false;
+  bool ends_by_itself = false;  // after having run well
   std::map<uint32_t, ReplicaRestarts> restarts;
 
   // Where it stands in the queue, see JobTable::Rank.
@@ -81,6 +82,10 @@
     return it != restarts.end() && now < it->second.not_before;
   }
 
+  // Pending tasks that may be started now: not those held back, and one at a
+  // time of a job that fails everywhere.
+  uint32_t PendingNow(double now) const;
+
   const JobSpec& spec() const { return record->spec; }
   const std::string& id() const { return record->spec.id; }
 };
@@ -112,6 +117,8 @@
   // would take longest for what it has at its limit; then the smaller job; then
   // by arrival.
   const std::vector<Job*>& queue();
+  // The services of the queue, in its order.
+  const std::vector<Job*>& services();
   // Judges anew what lies within a guarantee and what is late.
   void Rank(const ClusterSettings& settings, double wall);
   // How long the job's last task may wait before the next of its aims that can
@@ -147,7 +154,7 @@
  private:
   std::map<std::string, std::unique_ptr<Job>> jobs_;
   Job* last_found_ = nullptr;  // a machine's tasks are mostly of few jobs
-  std::vector<Job*> queue_;
+  std::vector<Job*> queue_, services_;
   bool queue_stale_ = true;
   std::map<std::string, TeamUse> use_;
   std::map<std::string, double> estimate_ratio_;  // by class
--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -37,6 +37,7 @@
   double stop_grace_s = 0;
   bool requeue_waiting = false;  // killed at t: queue for owned room
   bool requeue_rented = false;   // killed at t: run rented to the end
+  bool stable = false;           // of a replica: it has run long enough
   bool job_live = true;          // false: its job has ended, it must go
 };
 
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -22,7 +22,11 @@
   constexpr double kRounding = 1e-6;
   for (const Team& team : settings_->teams) {
     if (team.name != job.spec().team) continue;
-    const TeamUse use = jobs_->use(team.name);
+    TeamUse use = jobs_->use(team.name);
+    if (!job.spec().IsService())
+      if (auto it = service_claims_.find(team.name);
+          it != service_claims_.end())
+        use.cpus += std::max(0.0, it->second);
     return use.cpus + unaccounted_cpus_ + job.spec().cpus <=
                team.cpus_max + kRounding &&
            use.gpus + unaccounted_gpus_ + job.spec().gpus <=
@@ -120,6 +124,7 @@
   placed.record = job->record;
   placed.speculative = !machine->base && !job->rented.Contains(task);
   job->waiting.erase(task);
+  if (spec.IsService()) service_claims_[spec.team] -= spec.cpus;
   jobs_->Place(job, task, machine->name, machine->zone);
   machine->Hold({job->id(), task}, std::move(placed));
   machine->UseImage(spec.image);
@@ -321,7 +326,17 @@
                                    machine.type->fetch_gb_per_s;
 }
 
+void Placement::ClaimForServices() {
+  service_claims_.clear();
+  for (const Job* job : jobs_->services()) {
+    if (!Startable(*job)) continue;
+    service_claims_[job->spec().team] +=
+        job->PendingNow(context_->now) * job->spec().cpus;
+  }
+}
+
 std::vector<Job*> Placement::Front() {
+  ClaimForServices();
   std::vector<Job*> front;
   // Beyond the first jobs each team has a part of the front: guards against a
   // team with much work filling it and going beyond its guarantee while another
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -116,6 +116,7 @@
 
   // The jobs near the front of the queue that may have a task started.
   std::vector<Job*> Front();
+  void ClaimForServices();
   void Sample(const std::vector<Job*>& front,
               std::vector<Machine*>* candidates);
   Machine* BestFit(const Job& job, const std::vector<Machine*>& candidates,
@@ -139,6 +140,9 @@
   int unaccounted_machines_ = 0;
   double unaccounted_cpus_ = 0, unaccounted_gpus_ = 0;
   uint32_t attempts_ = 0;
+  // What replicas that wait will take of their team's limit, by team. Guards
+  // against other tasks of the team taking what was freed for them.
+  std::map<std::string, double> service_claims_;  // CPUs
   std::vector<Reserve> reserves_;
   bool reserves_stale_ = true;  // since the last pass had nothing to place
 };
--- a/src/core/preemption.cc
+++ b/src/core/preemption.cc
@@ -43,36 +43,59 @@
   return rooms;
 }
 
-uint32_t Preemption::Waiting(const Job& job) const {
-  if (!placement_->Startable(job)) return 0;
-  uint32_t waiting = 0;
-  for (const auto& [first, last] : job.pending.ranges())
-    for (uint32_t task = first; task < last; ++task)
-      if (!job.HeldBack(task, context_->now)) ++waiting;
-  if (job.failing()) waiting = std::min(waiting, 1u);
-  for (const Team& team : settings_->teams) {
-    if (team.name != job.spec().team || job.spec().cpus <= 0) continue;
-    const double left = team.cpus_max - jobs_->use(team.name).cpus;
-    const double fit = std::floor(left / job.spec().cpus + kRounding);
-    waiting =
-        static_cast<uint32_t>(std::min<double>(waiting, std::max(0.0, fit)));
+bool Preemption::MayStopFor(const Job& job, const Placed& placed) {
+  const JobSpec& spec = placed.record->spec;
+  return !placed.stop && placed.job_live && !spec.IsService() &&
+         placed.phase == PlacedPhase::kPresent &&
+         spec.priority < job.spec().priority;
+}
+
+double Preemption::LostWork(const Placed& placed) const {
+  const JobSpec& spec = placed.record->spec;
+  const double ran =
+      placed.running_since > 0 ? context_->now - placed.running_since : 0;
+  return spec.cpus * (spec.checkpoint_s > 0 ? spec.save_s : ran);
+}
+
+void Preemption::Stop(Placed* placed) {
+  const JobSpec& spec = placed->record->spec;
+  placed->stop = true;
+  placed->stop_grace_s = spec.checkpoint_s > 0 ? spec.save_s + 1 : 0;
+}
+
+uint32_t Preemption::MakeRoomUnderLimit(const Job& job, uint32_t waiting) {
+  const JobSpec& spec = job.spec();
+  double limit = kNoLimit;
+  for (const Team& team : settings_->teams)
+    if (team.name == spec.team) limit = team.cpus_max;
+  double left = limit - jobs_->use(spec.team).cpus;
+  if (waiting * spec.cpus <= left + kRounding) return waiting;
+  std::vector<std::pair<double, Placed*>> candidates;
+  for (auto& [name, machine] : machines_->all()) {
+    for (auto& [key, placed] : machine->tasks) {
+      if (placed.record->spec.team != spec.team) continue;
+      if (placed.stop)
+        left += placed.cpus;
+      else if (MayStopFor(job, placed))
+        candidates.emplace_back(LostWork(placed), &placed);
+    }
   }
-  return waiting;
+  std::sort(candidates.begin(), candidates.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  for (const auto& [lost_work, placed] : candidates) {
+    if (waiting * spec.cpus <= left + kRounding) break;
+    Stop(placed);
+    left += placed->cpus;
+  }
+  const double fit = std::floor(left / spec.cpus + kRounding);
+  return static_cast<uint32_t>(std::clamp<double>(fit, 0, waiting));
 }
 
 Preemption::Victims Preemption::Choose(const Job& job, const Room& room) const {
   std::vector<std::pair<double, Placed*>> candidates;
-  for (auto& [key, placed] : room.machine->tasks) {
-    const JobSpec& spec = placed.record->spec;
-    if (placed.stop || !placed.job_live || spec.IsService() ||
-        placed.phase != PlacedPhase::kPresent ||
-        spec.priority >= job.spec().priority)
-      continue;
-    const double ran =
-        placed.running_since > 0 ? context_->now - placed.running_since : 0;
-    candidates.emplace_back(
-        spec.cpus * (spec.checkpoint_s > 0 ? spec.save_s : ran), &placed);
-  }
+  for (auto& [key, placed] : room.machine->tasks)
+    if (MayStopFor(job, placed))
+      candidates.emplace_back(LostWork(placed), &placed);
   std::sort(candidates.begin(), candidates.end(),
             [](const auto& a, const auto& b) { return a.first < b.first; });
   Victims victims;
@@ -89,7 +112,12 @@
 
 void Preemption::MakeRoomFor(const Job& job, std::vector<Room>* rooms) {
   const JobSpec& spec = job.spec();
-  const uint32_t waiting = Waiting(job);
+  uint32_t waiting =
+      placement_->Startable(job) ? job.PendingNow(context_->now) : 0;
+  if (spec.cpus > 0) waiting = MakeRoomUnderLimit(job, waiting);
+  if (waiting == 0) return;
+  // Those that were stopped for the limit are room by now.
+  if (rooms->empty()) *rooms = Rooms();
   std::map<std::string, uint32_t> planned;  // by zone
   const auto allowed = [&](const Room& room) {
     return placement_->Allowed(job, *room.machine) &&
@@ -115,9 +143,7 @@
     }
     if (!best) return;
     for (Placed* placed : least.tasks) {
-      placed->stop = true;
-      const JobSpec& stopped = placed->record->spec;
-      placed->stop_grace_s = stopped.checkpoint_s > 0 ? stopped.save_s + 1 : 0;
+      Stop(placed);
       best->Give(*placed);
     }
     best->Take(spec);
@@ -127,9 +153,8 @@
 
 void Preemption::MakeRoomForServices() {
   std::vector<Room> rooms;
-  for (const Job* job : jobs_->queue()) {
-    if (!job->spec().IsService() || job->pending.empty()) continue;
-    if (rooms.empty()) rooms = Rooms();
+  for (const Job* job : jobs_->services()) {
+    if (job->pending.empty()) continue;
     MakeRoomFor(*job, &rooms);
   }
 }
--- a/src/core/preemption.h
+++ b/src/core/preemption.h
@@ -47,8 +47,14 @@
   // The least costly tasks whose end would make a task of the job fit; none
   // where that can't be.
   Victims Choose(const Job& job, const Room& room) const;
-  // Replicas of the job that may be started now, under its team's limit.
-  uint32_t Waiting(const Job& job) const;
+  // How many of `waiting` the team's limit lets run beside what it runs; where
+  // that is too few, tasks of lower priority of the same team are stopped.
+  uint32_t MakeRoomUnderLimit(const Job& job, uint32_t waiting);
+  // It may be stopped for a task of the job.
+  static bool MayStopFor(const Job& job, const Placed& placed);
+  // The core-seconds of work that stopping it costs.
+  double LostWork(const Placed& placed) const;
+  static void Stop(Placed* placed);
 
   Context* context_;
   JobTable* jobs_;
--- a/src/core/replicas.cc
+++ b/src/core/replicas.cc
@@ -7,18 +7,21 @@
 
 namespace sorrelwood {
 
-void ReplicaKeeper::Running(Job* job, uint32_t task, double running_since) {
-  if (context_->now - running_since < kReplicaStableS) return;
+bool ReplicaKeeper::BecameStable(Job* job, uint32_t task, Placed* placed) {
+  if (placed->stable || placed->running_since == 0 ||
+      context_->now - placed->running_since < kReplicaStableS)
+    return false;
+  placed->stable = true;
   job->restarts.erase(task);
   job->replica_succeeded = true;
-  // It succeeds: its failures elsewhere tell of those machines.
-  job->error_rounds = 0;
+  return true;
 }
 
 void ReplicaKeeper::Ended(Job* job, uint32_t task, double ran_s) {
   ++restarted_;
   if (ran_s >= kReplicaStableS) {
     job->restarts.erase(task);
+    job->ends_by_itself = true;
     return;
   }
   ReplicaRestarts& restarts = job->restarts[task];
@@ -69,8 +72,7 @@
 
 ReplicaKeeper::Figures ReplicaKeeper::Measure() const {
   Figures figures;
-  for (const auto& [id, job] : jobs_->all()) {
-    if (!job->spec().IsService()) continue;
+  for (const Job* job : jobs_->services()) {
     figures.wanted += job->spec().tasks;
     figures.running += machines_->RunningReplicas(*job);
   }
--- a/src/core/replicas.h
+++ b/src/core/replicas.h
@@ -20,8 +20,9 @@
         machines_(machines),
         placement_(placement) {}
 
-  // The machine's report shows the replica running.
-  void Running(Job* job, uint32_t task, double running_since);
+  // The machine's report shows the replica running. True when it has just run
+  // long enough to show that neither job nor machine is at fault.
+  bool BecameStable(Job* job, uint32_t task, Placed* placed);
   // The replica ended by itself, or was refused, after `ran_s` of running. It
   // starts again at once the first time, then at a falling rate.
   void Ended(Job* job, uint32_t task, double ran_s);
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -351,9 +351,11 @@
     if (Job* job = jobs_.Find(task.job)) waiting_.LearnStart(job, *machine);
   }
   placed->state = task.state;
-  if (placed->running_since > 0 && placed->record->spec.IsService())
-    if (Job* job = jobs_.Find(task.job))
-      replicas_.Running(job, task.task, placed->running_since);
+  if (!placed->record->spec.IsService()) return;
+  Job* job = jobs_.Find(task.job);
+  if (!job || !replicas_.BecameStable(job, task.task, placed)) return;
+  Succeeded(machine);
+  Succeeded(job);
 }
 
 // A task that an earlier leader placed, or that nobody should have.
@@ -416,13 +418,14 @@
       // A task that saved before may run only its rest: not a sample.
       if (ran > 0 && job->spec().checkpoint_s == 0)
         jobs_.LearnRunTime(job->spec(), ran);
-      machine->errors.clear();
-      if (machine->set_aside) Judge(machine);
+      Succeeded(machine);
       machine->finished[key] = task.attempt;
       Completed(job, task.task);
       return;
     case ExitReason::kError:
-      if (placed && job) Failed(machine, job, task.task);
+      // A replica that has run well tells nothing of its machine.
+      if (placed && job && !(job->spec().IsService() && ran >= kReplicaStableS))
+        Failed(machine, job, task.task);
       return;
     case ExitReason::kNoRoom:
     case ExitReason::kBusy:
@@ -466,16 +469,26 @@
   DropAll(machine);
 }
 
-void Scheduler::Completed(Job* job, uint32_t task) {
-  if (job->done.Contains(task)) return;
-  jobs_.MarkDone(job, task);
-  // It succeeds: its failures elsewhere tell of those machines.
+// A task has run as it should there: what failed before tells nothing of it.
+void Scheduler::Succeeded(Machine* machine) {
+  machine->errors.clear();
+  if (machine->set_aside) Judge(machine);
+}
+
+// The job's failures elsewhere tell of those machines.
+void Scheduler::Succeeded(Job* job) {
   const std::set<std::string> failed_on =
       std::exchange(job->error_machines, {});
   job->error_rounds = 0;
   job->retry_at = 0;
   for (const std::string& name : failed_on)
     if (Machine* other = machines_.Find(name)) Judge(other);
+}
+
+void Scheduler::Completed(Job* job, uint32_t task) {
+  if (job->done.Contains(task)) return;
+  jobs_.MarkDone(job, task);
+  Succeeded(job);
   if (job->done.size() == job->spec().tasks)
     complete_.push_back(job->id());
   else
@@ -512,6 +525,7 @@
       if (Machine* other = machines_.Find(name)) Judge(other);
   }
   if (proven && ++job->task_errors[task] >= kBadTaskErrors) return;
+  if (job->ends_by_itself) return;  // it tells nothing of machines
   ++machine->errors[job->id()];
   Judge(machine);
 }
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -69,6 +69,8 @@
   void DropAll(Machine* machine);
   void DropEverything(Machine* machine);
   void Completed(Job* job, uint32_t task);
+  void Succeeded(Machine* machine);
+  void Succeeded(Job* job);
   void Failed(Machine* machine, Job* job, uint32_t task);
   // Sets the machine aside, or takes it back, by what has failed there.
   void Judge(Machine* machine);
--- a/tests/world.h
+++ b/tests/world.h
@@ -44,6 +44,24 @@
   // Jobs of a single task, so many a second from 20 s to 140 s, a quarter of
   // them cancelled.
   double singles_per_s = 0;
+  // Services, submitted from `services_from_s` on; of some the replicas end by
+  // themselves, done or failed, after some 20 s; of one all end at once.
+  int services = 0;
+  double services_from_s = 20;
+  double replica_ends_share = 0;
+  bool spinning_service = false;
+  // The nodes begin without knowledge of the state service's coming limits, as
+  // the version before, and are killed one after the other from this time on,
+  // to come back with it; one that crashes before its turn does not. 0: no
+  // roll.
+  double roll_at_s = 0;
+  double roll_every_s = 6;
+  // The state service has its smaller limits from then on. 0: never.
+  double limits_fall_at_s = 0;
+  StateLimits limits_after{42, 0.6, 4};
+  bool rate_limits = false;  // changes beyond the rate are refused
+  // An array of 3,000 short tasks, whose progress outgrows the smaller limit.
+  bool long_array = false;
   // Some 1,500 machines in three zones, arrays of up to 3,000 tasks, and the
   // reports, leases and rates of a large deployment.
   bool fleet = false;
@@ -118,6 +136,13 @@
   int jobs_done() const { return jobs_done_; }
   int jobs_cancelled() const { return jobs_cancelled_; }
   int jobs_accepted() const { return jobs_accepted_; }
+  // Accepted services whose cancellation was not confirmed.
+  int services_left() const;
+  // Starts of replicas of the service that ends at once.
+  int spins() const { return spins_; }
+  int refused_for_size() const { return refused_for_size_; }
+  int refused_for_rate() const { return refused_for_rate_; }
+  bool SomeProgressInParts() const;
   int takeovers() const { return takeovers_; }
   size_t machines_left() const;
   int machines_rented() const { return next_machine_ - 1; }
@@ -239,6 +264,15 @@
   void CheckForgotten();
   void CheckServed();
   void CheckWaiting();
+  void CheckReplicas();
+  void AddServices();
+  void AddLongArray();
+  void Roll();
+  // Whether the transaction is within the limits of now, and why not.
+  StateRefusal OverLimits(const StateTransaction& request);
+  // By what means a replica is to end by itself, and after how long.
+  void PlanReplicaEnd(const std::string& machine, const TaskKey& key,
+                      uint64_t timer);
   void BecomeFleet();
   JobSpec FleetJob(JobSpec spec);
 
@@ -312,6 +346,9 @@
   uint64_t most_work_ = 0;
   std::set<uint64_t> terms_seen_;
   ActionDigest digest_;
+  int spins_ = 0, refused_for_size_ = 0, refused_for_rate_ = 0;
+  double change_tokens_ = 0, change_tokens_at_ = 0;
+  std::map<std::string, int> too_large_;  // refusals of one value, by its text
 };
 
 }  // namespace sorrelwood::test
