After a cut, machines that come back last are not returned as silent

They now have the time of a long silence to speak. Test seen red without it: Leader.MachinesThatComeBackFromACutAreKept.

--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -41,6 +41,7 @@
 void Scheduler::Elected() {
   Deposed();
   elected_at_ = context_->now;
+  many_silent_at_ = -LongSilence();
   Load();
 }
 
@@ -784,7 +785,11 @@
   for (const auto& [name, machine] : machines_.all())
     if (holds_up(*machine)) ++holding;
   const bool few_hold_up = holding <= std::max(1.0, expected * kHoldUpShare);
-  const bool few = silent <= std::max(1.0, expected * kEarlyReleaseShare);
+  // When a cut ends, machines come back one after the other: those that do so
+  // last are few by then. Guards against returning them just before they speak.
+  if (silent > std::max(1.0, expected * kEarlyReleaseShare))
+    many_silent_at_ = context_->now;
+  const bool few = context_->now - many_silent_at_ > LongSilence();
   for (auto& [name, machine] : machines_.all()) {
     Machine* m = machine.get();
     if (!m->ever_reported) continue;
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -800,6 +800,29 @@
   EXPECT_EQ(starts, 1);
 }
 
+// A cut that held half of the machines ends: they come back one after the
+// other, and the last of them is not returned for being among a few that are
+// silent.
+TEST(Leader, MachinesThatComeBackFromACutAreKept) {
+  Leader leader(2, /*hold_s=*/1000);
+  std::vector<Healthy> machines;
+  for (int i = 0; i < 12; ++i) machines.emplace_back("n-" + std::to_string(i));
+  const auto beat = [&](size_t count) {
+    for (size_t i = 0; i < count; ++i) machines[i].Beat(&leader);
+    leader.Run(1.8);
+  };
+  leader.Run(2);
+  for (int i = 0; i < 4; ++i) beat(12);
+  for (int i = 0; i < 12; ++i) beat(6);
+  for (size_t heard = 7; heard <= 12; ++heard) beat(heard);
+  for (int i = 0; i < 4; ++i) beat(12);
+  for (const Healthy& machine : machines)
+    EXPECT_FALSE(leader.Released(machine.name)) << machine.name;
+  // One that stays silent by itself is returned.
+  for (int i = 0; i < 10; ++i) beat(11);
+  EXPECT_TRUE(leader.Released("n-11"));
+}
+
 // What nothing may be launched before does not queue behind progress.
 TEST(Writer, UrgentRecordsGoFirst) {
   Context context(1);
