--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -27,7 +27,13 @@
              settings, policy),
       replicas_(context, &jobs_, &machines_, &placement_),
       preemption_(context, &jobs_, &machines_, &placement_, settings),
-      waiting_(context, &jobs_, &machines_, policy, seed) {
+      waiting_(context, &jobs_, &machines_, policy, seed),
+      monitor_(context, &machines_, leadership, &fleet_, settings,
+               {[this](Machine* machine, const WorkerReport& report) {
+                  Hear(machine, report, /*direct=*/true);
+                },
+                [this](Machine* machine) { DropUnsent(machine); },
+                [this](Machine* machine) { DropEverything(machine); }}) {
   fleet_.on_gone = [this](Machine* machine) { DropEverything(machine); };
 }
 
@@ -40,8 +46,6 @@
 
 void Scheduler::Elected() {
   Deposed();
-  elected_at_ = context_->now;
-  many_silent_at_ = -LongSilence();
   Load();
 }
 
@@ -49,6 +53,7 @@
   active_ = false;
   reload_at_ = 0;
   ++generation_;
+  monitor_.Begin();
   writer_.Clear();
   fleet_.Clear();
   jobs_.Clear();
@@ -207,7 +212,8 @@
   const bool first = machine->answered_sequence == 0;  // of this term
   if (in_a_row || first) machine->reached_at = context_->now;
   // After a silence the count starts again: it was cut off, not deaf.
-  const bool was_silent = context_->now - machine->last_report > LongSilence();
+  const bool was_silent =
+      context_->now - machine->last_report > monitor_.LongSilence();
   if (in_a_row || first || was_silent) machine->unproved_since = context_->now;
   const bool newer = std::make_pair(report.session, report.sequence) >
                      std::make_pair(machine->session, machine->sequence);
@@ -456,6 +462,14 @@
     jobs_.AddStray(placed.record->spec.team, -placed.cpus, -placed.gpus);
 }
 
+void Scheduler::DropUnsent(Machine* machine) {
+  for (auto it = machine->tasks.begin(); it != machine->tasks.end();) {
+    auto next = std::next(it);
+    if (it->second.phase == PlacedPhase::kAssigned) DropTask(machine, it);
+    it = next;
+  }
+}
+
 void Scheduler::DropAll(Machine* machine) {
   while (!machine->tasks.empty()) DropTask(machine, machine->tasks.begin());
   unknown_tasks_.erase(machine->name);
@@ -613,11 +627,7 @@
   }
   if (!leadership_->MayLaunch() || !placement_.Usable(*machine)) {
     // Guards against a launch by a leader that others may have replaced.
-    for (auto it = machine->tasks.begin(); it != machine->tasks.end();) {
-      auto next = std::next(it);
-      if (it->second.phase == PlacedPhase::kAssigned) DropTask(machine, it);
-      it = next;
-    }
+    DropUnsent(machine);
     return orders;
   }
   for (auto& [key, placed] : machine->tasks) {
@@ -666,7 +676,7 @@
   // First, since it may leave the lead.
   if (context_->now >= next_silence_) {
     next_silence_ = context_->now + 0.5;
-    WatchSilent();
+    monitor_.Watch();
     if (!leadership_->leading()) return;
   }
   writer_.Tick();
@@ -701,18 +711,6 @@
   }
 }
 
-// What the machines said meanwhile was not heard, and nothing was asked of
-// them: the gap is ours. Guards against taking it for their silence. Their
-// leases ran on, so when they were last answered stays.
-void Scheduler::Stalled(double gap_s) {
-  for (auto& [name, machine] : machines_.all()) {
-    machine->last_heard += gap_s;
-    machine->last_report += gap_s;
-    machine->reached_at += gap_s;
-    machine->unproved_since += gap_s;
-  }
-}
-
 void Scheduler::CountUnaccounted() {
   if (!unaccounted_stale_) return;
   unaccounted_stale_ = false;
@@ -729,148 +727,6 @@
   placement_.set_unaccounted(machines, cpus, gpus);
 }
 
-double Scheduler::LongSilence() const {
-  return kSilentReports * settings_->report_s + kDirectTimeoutS + kPushEveryS;
-}
-
-void Scheduler::WatchSilent() {
-  const double silence = kSilentReports * settings_->report_s;
-  const double lease = settings_->lease_s * (1 + kClockDrift) + 1;
-  // How long an earlier leader's answers may have kept a machine's tasks.
-  const double reach = elected_at_ + leadership_->answer_reach_s() + lease;
-  const double soon = kAbdicateSoonReports * settings_->report_s;
-  int silent = 0, quiet = 0, expected = 0;
-  for (const auto& [name, machine] : machines_.all()) {
-    Machine* m = machine.get();
-    if (!m->ever_reported || !m->vouched) continue;
-    // Its reports come and are answered, but for longer than its lease no
-    // answer is proved to have arrived; a slow one is far from that. It is not
-    // answered any more. Guards against a machine that swallows tasks which
-    // never start.
-    const double unproved = m->last_answered - m->unproved_since;
-    if (!m->deaf && m->heard && unproved > lease + silence) {
-      m->deaf = true;
-      context_->Info(name + " reports but nothing reaches it");
-    }
-    // One that is neither heard nor listed is a record without a machine.
-    // Guards against the lead going round because of such.
-    if (!m->heard && !m->listed && fleet_.list_known()) continue;
-    ++expected;
-    if (m->deaf || context_->now - m->last_heard > silence) ++silent;
-    if (context_->now - m->last_heard > soon) ++quiet;
-  }
-  // Guards against a leader that is cut off from the workers alone: their
-  // leases would run out while another controller could answer them.
-  // Many that fall silent together tell it sooner. While the state service is
-  // out nobody else could lead.
-  if (leadership_->MayLaunch() && context_->now - elected_at_ > silence &&
-      ((expected >= kAbdicateMachines &&
-        expected - silent < expected * kAbdicateHeardShare) ||
-       (expected >= kAbdicateSoonMachines &&
-        expected - quiet < expected * kAbdicateSoonShare))) {
-    leadership_->Abdicate("most machines are silent");
-    if (!leadership_->leading()) return;
-  }
-  // After a takeover every inherited job waits for the last machine. A few that
-  // neither report nor answer are most likely gone: returned at once, as the
-  // proof, they cost the work on them if they are not.
-  const double unshown = kTakeoverReports * settings_->report_s +
-                         kDirectTimeoutS + kPushEveryS / 2;
-  const auto holds_up = [&](const Machine& m) {
-    return m.inherited && m.ever_reported && !m.releasing &&
-           m.pushes_missed > 0 && m.sequence == 0 &&
-           context_->now - elected_at_ > unshown;
-  };
-  int holding = 0;
-  for (const auto& [name, machine] : machines_.all())
-    if (holds_up(*machine)) ++holding;
-  const bool few_hold_up = holding <= std::max(1.0, expected * kHoldUpShare);
-  // When a cut ends, machines come back one after the other: those that do so
-  // last are few by then. Guards against returning them just before they speak.
-  if (silent > std::max(1.0, expected * kEarlyReleaseShare))
-    many_silent_at_ = context_->now;
-  const bool few = context_->now - many_silent_at_ > LongSilence();
-  for (auto& [name, machine] : machines_.all()) {
-    Machine* m = machine.get();
-    if (!m->ever_reported) continue;
-    // Guards against a machine that answers direct commands but reaches no
-    // controller: work chosen for it would wait there for a report.
-    const double quiet_s = context_->now - m->last_report;
-    // Most show our token in their first two reports after a takeover.
-    const bool stuck =
-        m->inherited &&
-        context_->now - elected_at_ > kTakeoverReports * settings_->report_s;
-    if ((stuck || quiet_s > silence) && !m->address.empty() && !m->pushing &&
-        !m->releasing && context_->now >= m->next_push)
-      Push(m);
-    // Whether or not it reports or is being returned: no earlier leader can
-    // have kept its tasks for so long. Guards against one that never shows our
-    // token and would hold up every inherited job and count against every limit
-    // for ever.
-    if (m->inherited && context_->now > reach) {
-      context_->Info(name + " has not shown our token: its tasks are gone");
-      DropEverything(m);
-    }
-    // It has spoken, has been answered, and still has not shown our token: it
-    // is deaf, or its report was a late copy.
-    const bool unheard =
-        !m->heard && context_->now - m->reached_at > LongSilence();
-    if (few_hold_up && holds_up(*m)) {
-      fleet_.Return(m, "it holds up what was taken over");
-      continue;
-    }
-    if (quiet_s <= silence && !m->deaf && !unheard) continue;
-    // What was chosen for it but not sent goes elsewhere.
-    for (auto it = m->tasks.begin(); it != m->tasks.end();) {
-      auto next = std::next(it);
-      if (it->second.phase == PlacedPhase::kAssigned) DropTask(m, it);
-      it = next;
-    }
-    const double lost_at = m->inherited ? reach : m->last_answered + lease;
-    if (context_->now > lost_at && !m->tasks.empty()) {
-      context_->Info(
-          name + " has been out of reach for its lease: its tasks are gone");
-      DropEverything(m);
-    }
-    if ((few || !m->vouched) && (m->deaf || unheard))
-      fleet_.Return(m, "it does not hear us");
-    else if (few && quiet_s > LongSilence())
-      fleet_.Return(m, "it is silent");
-    else if (context_->now > lost_at &&
-             context_->now > std::min(m->reached_at, m->last_report) + lease +
-                                 kLostReturnS + 2 * settings_->lease_s)
-      fleet_.Return(m, "it has been out of reach for long");
-  }
-}
-
-// Shows a machine our token, whoever it reports to, and reads what it holds.
-void Scheduler::Push(Machine* machine) {
-  machine->pushing = true;
-  machine->next_push = context_->now + kPushEveryS;
-  DirectCommand command;
-  command.machine = machine->name;
-  command.address = machine->address;
-  command.token = leadership_->term();
-  command.session = machine->session;
-  context_->Direct(std::move(command), [this, name = machine->name,
-                                        generation = generation_](
-                                           const DirectResult& result) {
-    if (generation != generation_) return;
-    Machine* m = machines_.Find(name);
-    if (!m) return;
-    m->pushing = false;
-    if (!result.answered || result.report.machine != name) {
-      ++m->pushes_missed;
-      return;
-    }
-    m->pushes_missed = 0;
-    m->reached_at = context_->now;
-    if (std::make_pair(result.report.session, result.report.sequence) >
-        std::make_pair(m->session, m->sequence))
-      Hear(m, result.report, /*direct=*/true);
-  });
-}
-
 // --- Writing down
 // -----------------------------------------------------------------------
 
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -12,6 +12,7 @@
 #include "core/fleet.h"
 #include "core/job_table.h"
 #include "core/leadership.h"
+#include "core/machine_monitor.h"
 #include "core/machine_table.h"
 #include "core/placement.h"
 #include "core/preemption.h"
@@ -33,7 +34,7 @@
   void Deposed();
   void Tick();
   // The process stood still for so long.
-  void Stalled(double gap_s);
+  void Stalled(double gap_s) { monitor_.Stalled(gap_s); }
   void LearnCatalog(const std::vector<MachineType>& types);
   void JobAppeared(const std::string& id);
   void JobEnded(const std::string& id, FinalState state);
@@ -66,6 +67,8 @@
   void HearExit(Machine* machine, const TaskReport& task, Placed* placed);
   void Adopt(Machine* machine, const TaskReport& task);
   void DropTask(Machine* machine, std::map<TaskKey, Placed>::iterator it);
+  // What was chosen for the machine and not sent goes elsewhere.
+  void DropUnsent(Machine* machine);
   void DropAll(Machine* machine);
   void DropEverything(Machine* machine);
   void Completed(Job* job, uint32_t task);
@@ -78,10 +81,6 @@
   std::vector<Command> Orders(Machine* machine, const WorkerReport& report);
   std::vector<Command> StopEnded(const WorkerReport& report) const;
   void Record(Machine* machine);
-  void WatchSilent();
-  // A machine quiet for so long has been shown the token directly, in vain (s).
-  double LongSilence() const;
-  void Push(Machine* machine);
   void CountUnaccounted();
   void WriteFinished();
   void Finish(Job* job);
@@ -101,10 +100,10 @@
   ReplicaKeeper replicas_;
   Preemption preemption_;
   WaitingPolicy waiting_;
+  MachineMonitor monitor_;
 
   bool active_ = false;
   uint64_t generation_ = 0;
-  double elected_at_ = 0;
   double many_silent_at_ =
       0;  // when too many machines were last silent at once
   double next_place_ = 0, next_silence_ = 0, next_write_ = 0, next_policy_ = 0,
