--- a/src/core/machine_monitor.cc
+++ b/src/core/machine_monitor.cc
@@ -11,7 +11,6 @@
 void MachineMonitor::Begin() {
   ++generation_;
   elected_at_ = context_->now;
-  many_silent_at_ = -LongSilence();
 }
 
 double MachineMonitor::LongSilence() const {
@@ -93,11 +92,8 @@
   // proof, they cost the work on them if they are not.
   const bool few_hold_up =
       census.holding <= std::max(1.0, census.expected * kHoldUpShare);
-  // When a cut ends, machines come back one after the other: those that do so
-  // last are few by then. Guards against returning them just before they speak.
-  if (census.silent > std::max(1.0, census.expected * kEarlyReleaseShare))
-    many_silent_at_ = context_->now;
-  const bool few_silent = context_->now - many_silent_at_ > LongSilence();
+  const bool few_silent =
+      census.silent <= std::max(1.0, census.expected * kEarlyReleaseShare);
   for (auto& [name, machine] : machines_->all())
     if (machine->ever_reported) Inspect(machine.get(), few_silent, few_hold_up);
 }
--- a/src/core/machine_monitor.h
+++ b/src/core/machine_monitor.h
@@ -78,8 +78,6 @@
   Handlers handlers_;
   uint64_t generation_ = 0;
   double elected_at_ = 0;
-  double many_silent_at_ =
-      0;  // when too many machines were last silent at once
 };
 
 }  // namespace sorrelwood
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -104,8 +104,6 @@
 
   bool active_ = false;
   uint64_t generation_ = 0;
-  double many_silent_at_ =
-      0;  // when too many machines were last silent at once
   double next_place_ = 0, next_silence_ = 0, next_write_ = 0, next_policy_ = 0,
          next_rank_ = 0, next_debug_ = 0, next_preemption_ = 0;
   double reload_at_ = 0;  // 0: no reading of the records has failed
