--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -193,6 +193,8 @@
 inline constexpr double kArrivalWindowS = 60.0;
 inline constexpr double kLeastArrivalSpanS = 20.0;
 inline constexpr double kStandbyJobs = 2.0;
+// None is kept for a class of which nothing has come for so long (s).
+inline constexpr double kStandbyMemoryS = 600.0;
 // A class that is to start at once and of which nothing has come yet may need
 // any machine: so many of the cheapest ordinary ones are kept, spread.
 inline constexpr double kUnseenStandbyMachines = 6.0;
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -184,18 +184,34 @@
   return shortest == kNoLimit ? 0 : shortest;
 }
 
-// What arrives while a machine boots, and one job more. While few have come the
-// time since the first tells the rate.
+double Placement::SlotsUnderLimit(const JobSpec& spec) const {
+  for (const Team& team : settings_->teams) {
+    if (team.name != spec.team) continue;
+    const double left = team.cpus_max - jobs_->use(team.name).cpus;
+    return std::max(0.0,
+                    std::floor(left / std::max(spec.cpus, kLeastTaskCpus)));
+  }
+  return 0;
+}
+
+// What arrives while a machine boots, and some jobs more. While few have come
+// the time since the first tells the rate. Guards against room that is paid for
+// without end after the last service of a class has come, or that its team
+// could never use.
 double Placement::StandbySlots(const UsualJob& usual) const {
+  const std::deque<double>& arrivals = usual.arrivals;
+  if (arrivals.empty()) return 0;
+  const auto [first, last] =
+      std::minmax_element(arrivals.begin(), arrivals.end());
+  if (context_->wall - *last > kStandbyMemoryS) return 0;
   const auto recent = std::count_if(
-      usual.arrivals.begin(), usual.arrivals.end(),
+      arrivals.begin(), arrivals.end(),
       [&](double at) { return context_->wall - at < kArrivalWindowS; });
-  const double span = usual.arrivals.empty()
-                          ? kArrivalWindowS
-                          : std::clamp(context_->wall - usual.arrivals.front(),
-                                       kLeastArrivalSpanS, kArrivalWindowS);
+  const double span =
+      std::clamp(context_->wall - *first, kLeastArrivalSpanS, kArrivalWindowS);
   const double in_a_boot = static_cast<double>(recent) * ShortestBootS() / span;
-  return std::ceil(usual.tasks * (kStandbyJobs + in_a_boot));
+  const double slots = std::ceil(usual.tasks * (kStandbyJobs + in_a_boot));
+  return std::min(slots, SlotsUnderLimit(usual.spec));
 }
 
 std::vector<Placement::Standby> Placement::StandbyNeeds() const {
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -105,6 +105,8 @@
   static double Slots(const Machine& machine, const UsualJob& usual,
                       double less_cpus, double less_memory_gb);
   double StandbySlots(const UsualJob& usual) const;
+  // Further tasks of the kind that the team's limit lets run.
+  double SlotsUnderLimit(const JobSpec& spec) const;
   double ShortestBootS() const;
   // A task of `job` on the machine leaves the reserves whole, or is one of
   // those that they are for.
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -900,6 +900,20 @@
   EXPECT_EQ(held("job-1"), 84u);
 }
 
+// Room for further services is given up some time after the last has come.
+TEST(Services, KeepNoRoomForEver) {
+  Leader leader(2, /*hold_s=*/1, /*base_share=*/0);
+  Healthy machine("n-1");
+  leader.Run(2);
+  leader.AddService("job-1", 2, 1, "team");
+  EXPECT_EQ(ObeyFor(&leader, &machine, "job-1", 4), 2u);
+  leader.Cancel("job-1");
+  ObeyFor(&leader, &machine, "job-1", 20);
+  EXPECT_FALSE(leader.Released("n-1"));
+  ObeyFor(&leader, &machine, "job-1", 320);
+  EXPECT_TRUE(leader.Released("n-1"));
+}
+
 // A replica that ends, be it `done`, is started again, and its end is cleared.
 TEST(Services, AReplicaThatEndsRunsAgain) {
   Leader leader(2, 1000);
