Work that has waited for 30 s may use the room kept free for services

The room of one usual job that is kept free for services was held against other work without end, while the plan counted it as room; the bounds put on further room had uncovered it.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -217,6 +217,9 @@
 // A class whose tasks are to start within this time (s) has room kept free for
 // some of its usual jobs; no more than this share of all such room.
 inline constexpr double kReserveWithinS = 10.0;
+// Work that has waited for so long (s) may use the room kept for services,
+// which may stop it again.
+inline constexpr double kReserveYieldS = 30.0;
 inline constexpr double kReserveMostShare = 0.12;
 inline constexpr double kLeastTaskCpus = 0.1;  // counted for a task
 inline constexpr double kReserveJobs = 1.0;    // how many usual jobs it holds
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -280,6 +280,11 @@
     if (reserve.job_class == spec.job_class ||
         spec.priority > reserve.usual.spec.priority)
       continue;
+    // Guards against work that waits for ever beside room that is kept free:
+    // for a service it can be stopped again.
+    if (reserve.usual.spec.IsService() &&
+        context_->now - job.queued_at > kReserveYieldS)
+      continue;
     const double before = Slots(machine, reserve.usual, 0, 0);
     const double after =
         Slots(machine, reserve.usual, spec.cpus, spec.memory_gb);
