Load spread: tests of its parts and of a leader alone (work under way)

Found by them: a task that ended done while it was told to move was launched again (a completed task exits at once: work lost, no rule); a job that ran mostly on a slow machine hid its slowness.

--- a/src/balance/imbalance.cc
+++ b/src/balance/imbalance.cc
@@ -64,10 +64,9 @@
     if (!LoadBounds::Counts(*machine)) continue;
     used_cpus += machine->cpus_used;
     CrowdedMachine crowded = Excess(machine.get());
-    if (crowded.excess_cpus > 0) {
+    if (crowded.excess_cpus > 0)
       imbalance.crowded.push_back(std::move(crowded));
-      continue;
-    }
+    // A machine that one team crowds may have room for others.
     const double room = std::min(machine->cpus_free(),
                                  bounds_->OfAll(*machine) - machine->cpus_used);
     if (room > 0) spare[{machine->type, machine->zone, machine->spot}] += room;
--- a/src/balance/rebalancer.cc
+++ b/src/balance/rebalancer.cc
@@ -229,15 +229,12 @@
 void Rebalancer::Released(Job* job, uint32_t task, uint64_t term) {
   const auto move = moves_.find({job->id(), task});
   if (move == moves_.end()) return;
-  if (!job->pending.Contains(task)) {  // it was done before it stopped
-    GiveUp(move, MoveFailure::kJobEnded);
-    return;
-  }
   Machine* to = machines_->Find(move->second.to);
   const bool place_is_good = to && !to->surplus && placement_->Usable(*to) &&
                              placement_->Allowed(*job, *to);
-  const bool may_start =
-      placement_->Startable(*job) && placement_->WithinQuota(*job);
+  const bool may_start = job->pending.Contains(task) &&
+                         placement_->Startable(*job) &&
+                         placement_->WithinQuota(*job);
   if (!place_is_good || !may_start) {
     GiveUp(move,
            place_is_good ? MoveFailure::kNotNow : MoveFailure::kPlaceLost);
@@ -249,6 +246,11 @@
   placement_->Assign(job, task, to, term);
 }
 
+void Rebalancer::TaskDone(const std::string& job, uint32_t task) {
+  const auto move = moves_.find({job, task});
+  if (move != moves_.end()) GiveUp(move, MoveFailure::kJobEnded);
+}
+
 void Rebalancer::JobEnded(const std::string& job) {
   speeds_.ForgetJob(job);
   auto it = moves_.lower_bound({job, 0});
--- a/src/balance/rebalancer.h
+++ b/src/balance/rebalancer.h
@@ -28,7 +28,7 @@
 // Why a move was given up. What was stopped is then placed like any other task.
 enum class MoveFailure {
   kTooLate,    // its machine did not let go of it in time
-  kJobEnded,   // the job is done or cancelled
+  kJobEnded,   // the task is done, or its job done or cancelled
   kPlaceLost,  // the machine that it was to move to can't take it any more
   kNotNow,     // the job may start nothing at this moment
 };
@@ -53,6 +53,9 @@
   // The task is proved to be off its machine and is pending again: if it was
   // moving it goes to the place that is held for it.
   void Released(Job* job, uint32_t task, uint64_t term);
+  // The task is complete: it moves nowhere. Called before its machine lets go
+  // of it.
+  void TaskDone(const std::string& job, uint32_t task);
   void JobEnded(const std::string& job);
   // Nothing may be placed on the machine any more.
   void MachineGone(const std::string& machine);
--- a/src/balance/speed_tracker.cc
+++ b/src/balance/speed_tracker.cc
@@ -14,6 +14,8 @@
     const double weight = ratio.samples == 0 ? 1 : kSpeedLearning;
     ratio.smoothed += (ran_s / times.mean_s - ratio.smoothed) * weight;
     ++ratio.samples;
+    // Guards against a job whose tasks run mostly on a slow machine.
+    if (ran_s >= times.mean_s * kSlowRatio) return;
   }
   ++times.tasks;
   times.mean_s += (ran_s - times.mean_s) / static_cast<double>(times.tasks);
--- a/src/balance/speed_tracker.h
+++ b/src/balance/speed_tracker.h
@@ -7,8 +7,8 @@
 
 namespace sorrelwood {
 
-// Compares each task's run time with the mean of its own job, so that neither
-// the owners' estimates nor the machine types' speeds matter.
+// Compares each task's run time with the usual one of its own job, so that the
+// owners' estimates don't matter.
 class SpeedTracker {
  public:
   // A task of the job ran to its end on the machine without interruption.
@@ -23,7 +23,7 @@
  private:
   struct JobTimes {
     uint64_t tasks = 0;
-    double mean_s = 0;
+    double mean_s = 0;  // without those that took far longer
   };
   struct MachineRatio {
     uint64_t samples = 0;
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -423,6 +423,8 @@
   const double ran = placed && placed->running_since > 0
                          ? context_->now - placed->running_since
                          : 0;
+  if (task.reason == ExitReason::kDone && job && !job->spec().IsService())
+    rebalancer_.TaskDone(task.job, task.task);
   if (placed) DropTask(machine, machine->tasks.find(key));
   if (placed && !told_to_stop && job && job->spec().IsService() &&
       task.reason != ExitReason::kStopped)
--- /dev/null
+++ b/tests/balance_test.cc
@@ -0,0 +1,303 @@
+// The parts of load spread by themselves: bounds, measure, sets, budget,
+// speeds.
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <set>
+
+#include "balance/image_affinity.h"
+#include "balance/imbalance.h"
+#include "balance/load_bounds.h"
+#include "balance/machine_sets.h"
+#include "balance/move_budget.h"
+#include "balance/speed_tracker.h"
+#include "config/settings.h"
+
+namespace sorrelwood {
+namespace {
+
+// Machines with 16 cores in two zones, and one team without a limit.
+class BoundsTest : public ::testing::Test {
+ protected:
+  BoundsTest() { settings_.teams = {{"team", 0, kNoLimit, 0, kNoLimit}}; }
+
+  Machine* AddMachine(const std::string& name, const std::string& zone = "a") {
+    Machine* machine = machines_.Add(name);
+    machine->type = &type_;
+    machine->zone = zone;
+    machine->heard = true;
+    return machine;
+  }
+  // A job whose tasks run already on the machine, `count` of them.
+  Job* Run(Machine* machine, uint32_t count, const std::string& team = "team",
+           const std::string& zone = "") {
+    auto record = std::make_shared<LiveJob>();
+    record->spec.id = "job-" + std::to_string(100000 + next_job_++);
+    record->spec.team = team;
+    record->spec.tasks = count;
+    record->spec.cpus = 1;
+    record->spec.zone = zone;
+    Job* job = jobs_.Add(record, 1, false, 0);
+    for (uint32_t task = 0; task < count; ++task) {
+      Placed placed;
+      placed.cpus = 1;
+      placed.record = record;
+      jobs_.Place(job, task, machine->name, machine->zone);
+      machine->Hold({record->spec.id, task}, placed);
+    }
+    return job;
+  }
+  Imbalance Measure() {
+    bounds_.Update(0);
+    return ImbalanceMeter(&bounds_).Measure(&machines_);
+  }
+
+  MachineType type_{"big", 16, 0, 64, 100, 1, 1, 0.4, 10, {"a", "b"}};
+  ClusterSettings settings_;
+  SpreadSettings spread_;
+  JobTable jobs_;
+  MachineTable machines_;
+  LoadBounds bounds_{&jobs_, &machines_, &settings_, spread_};
+  int next_job_ = 0;
+};
+
+TEST_F(BoundsTest, AMachinesPartFollowsTheDemand) {
+  Machine* busy = AddMachine("n-1");
+  AddMachine("n-2");
+  Job* job = Run(busy, 8);
+  bounds_.Update(0);
+  // 8 of 32 cores are asked for: 4 for each machine, and a quarter more.
+  EXPECT_DOUBLE_EQ(bounds_.OfAll(*busy), 5);
+  EXPECT_DOUBLE_EQ(bounds_.OfTeam("team", *busy), 5);
+  EXPECT_FALSE(bounds_.Allow(*job, *busy));
+  EXPECT_TRUE(bounds_.Allow(*job, *machines_.Find("n-2")));
+}
+
+TEST_F(BoundsTest, PendingWorkLoosensTheBounds) {
+  Machine* busy = AddMachine("n-1");
+  AddMachine("n-2");
+  Job* job = Run(busy, 8);
+  job->pending.Add(100, 124);
+  bounds_.Update(0);
+  EXPECT_DOUBLE_EQ(bounds_.OfAll(*busy), 20);
+  EXPECT_TRUE(bounds_.Allow(*job, *busy));
+}
+
+TEST_F(BoundsTest, OneTaskIsNeverACrowd) {
+  Machine* machine = AddMachine("n-1");
+  for (int i = 2; i < 20; ++i) AddMachine("n-" + std::to_string(i));
+  Run(machine, 1);
+  EXPECT_EQ(Measure().share, 0);
+}
+
+TEST_F(BoundsTest, MachinesThatAreEmptiedDoNotCount) {
+  Machine* busy = AddMachine("n-1");
+  AddMachine("n-2")->surplus = true;
+  Run(busy, 8);
+  EXPECT_EQ(Measure().share, 0);
+}
+
+TEST_F(BoundsTest, TheMeasureIsTheShareThatWouldHaveToMove) {
+  Machine* busy = AddMachine("n-1");
+  AddMachine("n-2");
+  Run(busy, 8);
+  const Imbalance imbalance = Measure();
+  // 3 of 8 cores lie above the bound of 5.
+  EXPECT_DOUBLE_EQ(imbalance.share, 3.0 / 8);
+  ASSERT_EQ(imbalance.crowded.size(), 1u);
+  EXPECT_EQ(imbalance.crowded[0].machine, busy);
+}
+
+TEST_F(BoundsTest, WhatMayBeNowhereElseIsNoImbalance) {
+  Machine* busy = AddMachine("n-1", "a");
+  AddMachine("n-2", "b");
+  Run(busy, 8, "team", /*zone=*/"a");
+  EXPECT_EQ(Measure().share, 0);
+}
+
+TEST_F(BoundsTest, ATeamCrowdsAMachineThatIsEvenlyUsed) {
+  settings_.teams.push_back({"other", 0, kNoLimit, 0, kNoLimit});
+  Machine* first = AddMachine("n-1");
+  Machine* second = AddMachine("n-2");
+  Run(first, 6, "team");
+  Run(second, 6, "other");
+  const Imbalance imbalance = Measure();
+  EXPECT_GT(imbalance.share, 0.15);
+  ASSERT_FALSE(imbalance.crowded.empty());
+  EXPECT_EQ(imbalance.crowded[0].excess_by_team.size(), 1u);
+}
+
+TEST_F(BoundsTest, LoadOfATeamLeavesWithItsTasks) {
+  Machine* machine = AddMachine("n-1");
+  Run(machine, 3);
+  EXPECT_DOUBLE_EQ(machine->TeamCpus("team"), 3);
+  while (!machine->tasks.empty()) machine->Drop(machine->tasks.begin());
+  EXPECT_EQ(machine->TeamCpus("team"), 0);
+  EXPECT_TRUE(machine->team_cpus.empty());
+}
+
+TEST_F(BoundsTest, AHeldPlaceIsNoRoom) {
+  Machine* machine = AddMachine("n-1");
+  JobSpec spec;
+  spec.cpus = 10;
+  EXPECT_TRUE(machine->Fits(spec));
+  machine->HoldPlace(8, 0, 1);
+  EXPECT_FALSE(machine->Fits(spec));
+  EXPECT_DOUBLE_EQ(machine->cpus_free(), 8);
+  machine->FreePlace(8, 0, 1);
+  EXPECT_TRUE(machine->Fits(spec));
+}
+
+TEST_F(BoundsTest, AFetchEndsWithTheLastTaskThatWaitsForIt) {
+  Machine* machine = AddMachine("n-1");
+  Run(machine, 2);
+  machine->fetching.emplace_back("");
+  machine->Drop(machine->tasks.begin());
+  EXPECT_EQ(machine->fetching.size(), 1u);
+  machine->Drop(machine->tasks.begin());
+  EXPECT_TRUE(machine->fetching.empty());
+}
+
+class SetsTest : public BoundsTest {
+ protected:
+  SetsTest() {
+    for (int i = 0; i < 40; ++i) {
+      Machine* machine =
+          AddMachine("n-" + std::to_string(i), i % 2 ? "a" : "b");
+      machine->spot = i % 4 == 0;
+      if (i % 8 == 1) machine->UseImage("img-1");
+      sets_.Add(machine);
+    }
+  }
+  MachineSets sets_;
+  std::mt19937_64 random_{7};
+};
+
+TEST_F(SetsTest, HoldWhatAJobAllows) {
+  JobSpec spec;
+  EXPECT_EQ(sets_.AllowedFor(spec).cardinality(), 30u);
+  spec.spot = true;
+  EXPECT_EQ(sets_.AllowedFor(spec).cardinality(), 40u);
+  spec.zone = "a";
+  EXPECT_EQ(sets_.AllowedFor(spec).cardinality(), 20u);
+  EXPECT_EQ(sets_.WithImage(sets_.AllowedFor(spec), "img-1").cardinality(), 5u);
+  spec.types = {"other"};
+  EXPECT_TRUE(sets_.AllowedFor(spec).isEmpty());
+}
+
+TEST_F(SetsTest, DrawWithoutRepetitionAndWithoutWhatWasRemoved) {
+  JobSpec spec;
+  spec.zone = "a";
+  sets_.Remove(*machines_.Find("n-1"));
+  std::set<Machine*> drawn;
+  for (Machine* machine : sets_.Draw(sets_.AllowedFor(spec), 100, &random_)) {
+    EXPECT_EQ(machine->zone, "a");
+    EXPECT_TRUE(drawn.insert(machine).second);
+  }
+  EXPECT_EQ(drawn.size(), 19u);
+  EXPECT_EQ(sets_.Draw(sets_.AllowedFor(spec), 4, &random_).size(), 4u);
+}
+
+TEST(ImageAffinity, ChangesLittleWhenAMachineGoes) {
+  const auto first = [](const std::string& image, int without) {
+    int best = -1;
+    for (int i = 0; i < 50; ++i) {
+      if (i == without) continue;
+      if (best < 0 || ImageAffinity(image, "n-" + std::to_string(i)) <
+                          ImageAffinity(image, "n-" + std::to_string(best)))
+        best = i;
+    }
+    return best;
+  };
+  std::set<int> used;
+  int changed = 0;
+  for (int i = 0; i < 200; ++i) {
+    const std::string image = "img-" + std::to_string(i);
+    used.insert(first(image, -1));
+    changed += first(image, -1) != first(image, 17);
+  }
+  EXPECT_GT(used.size(), 40u);  // images are spread over the machines
+  EXPECT_LT(changed, 12);       // 4 are expected
+}
+
+TEST(MoveBudget, IsSpentByFleetTeamAndJob) {
+  SpreadSettings spread;
+  spread.moves_per_minute = 4;
+  spread.team_moves_per_minute = 3;
+  spread.job_moves_per_minute = 2;
+  MoveBudget budget(spread);
+  for (int i = 0; i < 2; ++i) {
+    ASSERT_TRUE(budget.Allows("blue", "job-1", 10));
+    budget.Spend("blue", "job-1", 10);
+  }
+  EXPECT_FALSE(budget.Allows("blue", "job-1", 11));
+  ASSERT_TRUE(budget.Allows("blue", "job-2", 11));
+  budget.Spend("blue", "job-2", 11);
+  EXPECT_FALSE(budget.Allows("blue", "job-3", 12));
+  ASSERT_TRUE(budget.Allows("green", "job-4", 12));
+  budget.Spend("green", "job-4", 12);
+  EXPECT_FALSE(budget.Allows("green", "job-5", 13));
+  EXPECT_TRUE(budget.Allows("blue", "job-1", 70.5));
+}
+
+TEST(SpeedTracker, FindsAMachineMuchSlowerThanOthers) {
+  SpeedTracker speeds;
+  for (int round = 0; round < 6; ++round) {
+    for (int i = 0; i < 8; ++i)
+      speeds.Learn("job-1", "n-" + std::to_string(i), 10 + 0.1 * i);
+    speeds.Learn("job-1", "slow", 25);
+  }
+  EXPECT_TRUE(speeds.IsSlow("slow"));
+  for (int i = 0; i < 8; ++i)
+    EXPECT_FALSE(speeds.IsSlow("n-" + std::to_string(i)));
+  speeds.ForgetMachine("slow");
+  EXPECT_FALSE(speeds.IsSlow("slow"));
+}
+
+TEST(SpreadSettings, AreOffUnlessNamed) {
+  PolicySettings policy;
+  std::string error;
+  ASSERT_TRUE(ParseOperatorSettings("fleet { hold_s: 12 }", &policy, &error));
+  EXPECT_FALSE(policy.spread.placement);
+  EXPECT_FALSE(policy.spread.moves);
+  ASSERT_TRUE(ParseOperatorSettings(
+      "load_spread { moves: true headroom: 0.5 most_fetches: 2 }", &policy,
+      &error))
+      << error;
+  EXPECT_TRUE(policy.spread.moves);
+  EXPECT_EQ(policy.spread.headroom, 0.5);
+  EXPECT_EQ(policy.spread.most_fetches, 2);
+}
+
+TEST(SpreadSettings, NameTheFieldThatIsWrong) {
+  const auto error_of = [](const std::string& text) {
+    PolicySettings policy;
+    std::string error;
+    EXPECT_FALSE(ParseOperatorSettings(text, &policy, &error)) << text;
+    return error;
+  };
+  EXPECT_EQ(error_of("load_spread { headroom: 9 }"),
+            "load_spread.headroom: must be from 0.05 to 4");
+  EXPECT_EQ(error_of("load_spread { moves_per_minute: 0 }"),
+            "load_spread.moves_per_minute: must be from 1 to 100000");
+  EXPECT_EQ(error_of("load_spread { begin_imbalance: 0.05 }"),
+            "load_spread.end_imbalance: must be less than begin_imbalance");
+  EXPECT_NE(error_of("load_spread { often: true }").find("often"),
+            std::string::npos);
+}
+
+TEST(Capacity, IsBoundedBySocketsAndMemory) {
+  ClusterSettings settings;
+  settings.sockets = 7500;
+  settings.memory_mib = 600;
+  EXPECT_GE(MostMachines(settings), 4000u);
+  EXPECT_NE(DescribeCapacity(settings).find("bounded by sockets"),
+            std::string::npos);
+  settings.memory_mib = 48;
+  EXPECT_LT(MostMachines(settings), 4000u);
+  EXPECT_NE(DescribeCapacity(settings).find("bounded by memory"),
+            std::string::npos);
+}
+
+}  // namespace
+}  // namespace sorrelwood
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -137,7 +137,7 @@
         options_.run_factor *
         (spec.job_class == "short" ? 5 + 10 * Random() : 20 + 20 * Random());
     spec.estimate_s = run_s * (0.5 + Random());
-    if (Random() < 0.3) {
+    if (Random() < options_.checkpoint_share) {
       spec.checkpoint_s = 10;
       spec.save_s = 1;
     }
@@ -189,6 +189,7 @@
   At(1, [this] { CheckWaiting(); });
   if (options_.services > 0) AddServices();
   if (options_.long_array) AddLongArray();
+  if (options_.burst_jobs > 0) AddBurst();
   if (options_.roll_at_s > 0) Roll();
   if (options_.limits_fall_at_s > 0) {
     settings_.state_next = options_.limits_after;
@@ -382,6 +383,38 @@
   AddJob(10, spec, 2);
 }
 
+void World::AddBurst() {
+  for (int i = 0; i < options_.burst_jobs; ++i) {
+    JobSpec spec;
+    spec.id = "job-6" + std::to_string(10000 + i);
+    spec.job_class = "burst";
+    spec.team = "green";
+    spec.tasks = 12;
+    spec.cpus = 1;
+    spec.memory_gb = 1;
+    spec.image = "img-burst-" + std::to_string(i % 3);
+    spec.image_gb = 1;
+    spec.spot = true;
+    spec.checkpoint_s = 10;
+    spec.save_s = 1;
+    const double run_s = 60 + 120 * Random();
+    spec.estimate_s = run_s;
+    AddJob(options_.burst_at_s + options_.burst_for_s * Random(), spec, run_s);
+  }
+}
+
+// Each term of a leader counts anew.
+void World::CountMoves(const Rebalancer::Figures& moves) {
+  const auto news = [](uint64_t now, uint64_t before) {
+    return now >= before ? now - before : now;
+  };
+  moves_begun_ += news(moves.begun, last_moves_.begun);
+  moves_finished_ += news(moves.finished, last_moves_.finished);
+  last_moves_ = moves;
+  imbalance_ = moves.imbalance;
+  if (imbalance_ > options_.policy.spread.end_imbalance) uneven_until_ = now_;
+}
+
 // One node after the other is killed and comes back new.
 void World::Roll() {
   for (int i = 0; i < options_.nodes; ++i)
@@ -543,6 +576,7 @@
   if (!nodes_[index]->up) return;
   if (!nodes_[index]->controller->Healthy()) ++unhealthy_ticks_;
   const auto figures = nodes_[index]->controller->Measure();
+  if (figures.leading) CountMoves(figures.scheduler.spread);
   if (figures.leading && terms_seen_.insert(figures.term).second) {
     ++takeovers_;
     for (const auto& [request, report] : std::exchange(copies_for_next_, {}))
--- a/tests/world.h
+++ b/tests/world.h
@@ -34,7 +34,8 @@
   double watch_delay_s = 0.0;  // news of the state service come up to this late
   double run_factor = 1.0;     // of the tasks' run times
   int capacity_factor = 1;     // of the cloud
-  double broken_share = 0;     // jobs that fail everywhere until cancelled
+  double checkpoint_share = 0.3;  // of the jobs can save their progress
+  double broken_share = 0;        // jobs that fail everywhere until cancelled
   // A team without guarantee or limit, with one large array and many jobs of a
   // single task.
   bool guests = false;
@@ -68,6 +69,10 @@
   double fleet_scale = 1;  // of its machines, limits and rates
   size_t check_every = 1;  // steps between two looks at all machines
   PolicySettings policy;
+  // A hot team: besides the jobs so many arrays of 12 long tasks, each saving
+  // its progress, come within `burst_for_s`.
+  int burst_jobs = 0;
+  double burst_at_s = 60, burst_for_s = 30;
   // Times at which things go wrong.
   struct Fault {
     double at_s = 0;
@@ -145,6 +150,13 @@
   int refused_for_rate() const { return refused_for_rate_; }
   bool SomeProgressInParts() const;
   int takeovers() const { return takeovers_; }
+  // Moves that leaders have begun and finished, over all terms.
+  uint64_t moves_begun() const { return moves_begun_; }
+  uint64_t moves_finished() const { return moves_finished_; }
+  // The imbalance that the leader last measured, and when it was last over
+  // `margin` (s; 0: never).
+  double imbalance() const { return imbalance_; }
+  double uneven_until() const { return uneven_until_; }
   size_t machines_left() const;
   int machines_rented() const { return next_machine_ - 1; }
   std::string Unfinished() const;
@@ -283,6 +295,8 @@
   void CheckReplicas();
   void AddServices();
   void AddLongArray();
+  void AddBurst();
+  void CountMoves(const Rebalancer::Figures& moves);
   void Roll();
   // Whether the transaction is within the limits of now, and why not.
   StateRefusal OverLimits(const StateTransaction& request);
@@ -361,6 +375,9 @@
   int unhealthy_ticks_ = 0, wrongly_returned_ = 0;
   uint64_t most_work_ = 0;
   Cost cost_;
+  uint64_t moves_begun_ = 0, moves_finished_ = 0;
+  double imbalance_ = 0, uneven_until_ = 0;
+  Rebalancer::Figures last_moves_;
   std::set<uint64_t> terms_seen_;
   ActionDigest digest_;
   int spins_ = 0, refused_for_size_ = 0, refused_for_rate_ = 0;
--- a/tests/world_test.cc
+++ b/tests/world_test.cc
@@ -566,6 +566,22 @@
   return all;
 }
 
+// Any scenario with load spread on, and so eager that small clusters move.
+WorldOptions WithSpread(WorldOptions options) {
+  SpreadSettings& spread = options.policy.spread;
+  spread.placement = spread.moves = true;
+  spread.begin_imbalance = 0.04;
+  spread.end_imbalance = 0.02;
+  spread.lasting_s = 2;
+  spread.pause_s = 10;
+  options.policy.speculation_s = 900;
+  options.run_factor = std::max(options.run_factor, 4.0);
+  options.checkpoint_share = 0.9;
+  options.burst_jobs = 6;
+  options.burst_at_s = 30;
+  return options;
+}
+
 class Days : public ::testing::TestWithParam<int> {};
 
 TEST_P(Days, KeepTheRules) {
@@ -599,6 +615,33 @@
       return std::string(Scenarios()[static_cast<size_t>(test.param)].name);
     });
 
+// The same troubles with moves under way: the rules are checked at each step.
+class SpreadDays : public ::testing::TestWithParam<int> {};
+
+TEST_P(SpreadDays, KeepTheRules) {
+  const Scenario scenario = Scenarios()[static_cast<size_t>(GetParam())];
+  uint64_t moves = 0;
+  const uint64_t seeds = Seeds(4);
+  for (uint64_t seed = 1; seed <= seeds; ++seed) {
+    SCOPED_TRACE(std::string(scenario.name) + " seed " + std::to_string(seed));
+    WorldOptions options = WithSpread(scenario.options);
+    options.seed = seed;
+    World world(options);
+    world.Run();
+    EXPECT_TRUE(world.broken().empty()) << Join(world.broken());
+    EXPECT_GT(world.tasks_started(), 20);
+    moves += world.moves_begun();
+  }
+  std::printf("moves begun: %llu\n", static_cast<unsigned long long>(moves));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    World, SpreadDays,
+    ::testing::Range(0, static_cast<int>(Scenarios().size())),
+    [](const auto& test) {
+      return std::string(Scenarios()[static_cast<size_t>(test.param)].name);
+    });
+
 TEST(Day, RepeatsItselfForASeed) {
   const WorldOptions options =
       Make("", true, {{50, Fault::kCrashLeader, 0, 3}}, 0.02).options;
