--- /dev/null
+++ b/tests/spread_measurement.cc
@@ -0,0 +1,67 @@
+// Compares load spread on and off on pairs of seeds: a burst of one team on a
+// fleet of some 300 machines, and a quiet day. Prints a table; no part of the
+// tests, since processor time depends on the machine.
+#include <cstdio>
+#include <cstdlib>
+
+#include "world.h"
+
+namespace sorrelwood::test {
+namespace {
+
+constexpr double kBurstEndsS = 90;
+
+enum class Mode { kOff, kPlacement, kMoves };
+
+WorldOptions Day(uint64_t seed, bool burst, Mode mode) {
+  WorldOptions options;
+  options.seed = seed;
+  options.fleet = true;
+  options.fleet_scale = 0.2;
+  options.jobs = 10;
+  options.run_factor = 2;
+  options.submit_until_s = 150;
+  options.duration_s = 480;
+  options.check_every = 200;
+  options.policy.base_share = 0.2;
+  if (burst) {
+    options.burst_jobs = 24;
+    options.burst_tasks = 50;
+  }
+  SpreadSettings& spread = options.policy.spread;
+  spread.placement = mode != Mode::kOff;
+  spread.moves = true;  // so that the imbalance is measured
+  if (mode != Mode::kMoves) spread.moves_per_minute = 0;
+  return options;
+}
+
+void Measure(uint64_t seed, bool burst, Mode mode) {
+  World world(Day(seed, burst, mode));
+  world.Run();
+  const char* names[] = {"off", "placement", "moves"};
+  std::printf(
+      "%-6s %4llu %-10s %9.3f %9.3f %8.0f %6llu %6d %8.1f %9.0f %8.1f %zu\n",
+      burst ? "burst" : "quiet", static_cast<unsigned long long>(seed),
+      names[static_cast<int>(mode)], world.MeanImbalance(60, kBurstEndsS),
+      world.MeanImbalance(kBurstEndsS + 60, kBurstEndsS + 120),
+      world.uneven_until(),
+      static_cast<unsigned long long>(world.moves_finished()),
+      world.jobs_done(), world.MeanJobTime(), world.machine_s(),
+      world.cost().PerReport() * 1e6, world.broken().size());
+}
+
+}  // namespace
+}  // namespace sorrelwood::test
+
+int main(int argc, char** argv) {
+  using sorrelwood::test::Mode;
+  const uint64_t seeds = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 4;
+  std::printf(
+      "day    seed mode       imbalance:60-90  150-210  uneven_until moves "
+      "done job_s machine_s us/report broken\n");
+  for (const bool burst : {true, false})
+    for (uint64_t seed = 1; seed <= seeds; ++seed)
+      for (const Mode mode : {Mode::kOff, Mode::kPlacement, Mode::kMoves})
+        sorrelwood::test::Measure(seed, burst, mode);
+  return 0;
+}
--- a/tests/world.h
+++ b/tests/world.h
@@ -72,6 +72,7 @@
   // A hot team: besides the jobs so many arrays of 12 long tasks, each saving
   // its progress, come within `burst_for_s`.
   int burst_jobs = 0;
+  uint32_t burst_tasks = 12;
   double burst_at_s = 60, burst_for_s = 30;
   // Times at which things go wrong.
   struct Fault {
@@ -157,6 +158,12 @@
   // `margin` (s; 0: never).
   double imbalance() const { return imbalance_; }
   double uneven_until() const { return uneven_until_; }
+  // Its mean over the seconds from `from_s` to `until_s`.
+  double MeanImbalance(double from_s, double until_s) const;
+  // Seconds of machines that were rented, and of tasks that ran, so far.
+  double machine_s() const;
+  // Mean time from acceptance to being told done (s).
+  double MeanJobTime() const;
   size_t machines_left() const;
   int machines_rented() const { return next_machine_ - 1; }
   std::string Unfinished() const;
@@ -377,6 +384,7 @@
   Cost cost_;
   uint64_t moves_begun_ = 0, moves_finished_ = 0;
   double imbalance_ = 0, uneven_until_ = 0;
+  std::map<int, double> imbalance_at_;  // by second
   Rebalancer::Figures last_moves_;
   std::set<uint64_t> terms_seen_;
   ActionDigest digest_;
