--- a/tests/load_spread_test.cc
+++ b/tests/load_spread_test.cc
@@ -413,6 +413,33 @@
   EXPECT_LE(Moves().begun - settled, 6u);
 }
 
+// Unevenness that ends sooner than `lasting_s` moves nothing.
+class PatientSpreadTest : public LoadSpreadTest {
+ protected:
+  PatientSpreadTest() : LoadSpreadTest(Patient()) {}
+  static PolicySettings Patient() {
+    PolicySettings policy = Spread();
+    policy.spread.lasting_s = 60;
+    return policy;
+  }
+};
+
+TEST_F(PatientSpreadTest, ShortUnevennessMovesNothing) {
+  MakeUneven();
+  Run(44);  // by now all tasks may move
+  ASSERT_GT(Moves().imbalance, 0.05);
+  EXPECT_EQ(Moves().begun, 0u);
+  leader_.Add(LongJob("job-000002", 12));  // fills the second machine
+  Run(60);
+  EXPECT_EQ(Moves().begun, 0u);
+}
+
+TEST_F(PatientSpreadTest, LastingUnevennessDoes) {
+  MakeUneven();
+  Run(90);
+  EXPECT_GT(Moves().finished, 0u);
+}
+
 TEST_F(LoadSpreadTest, WorkLeavesAMachineMuchSlowerThanItsKind) {
   std::vector<Worker*> workers;
   for (int i = 1; i <= 4; ++i)
