--- /dev/null
+++ b/tests/loopback/cloud_service.cc
@@ -0,0 +1,118 @@
+#include "loopback/cloud_service.h"
+
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+namespace sorrelwood::test {
+namespace {
+
+using nlohmann::json;
+
+constexpr size_t kThreads = 24;
+
+void Answer(httplib::Response& response, int status, const json& body) {
+  response.status = status;
+  response.set_content(body.dump(), "application/json");
+}
+
+}  // namespace
+
+CloudService::CloudService(int capacity, TaskBook* book, History* history)
+    : capacity_(capacity), book_(book), history_(history) {
+  server_.new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
+  Route();
+  port_ = server_.bind_to_any_port("127.0.0.1");
+  serving_ = std::thread([this] { server_.listen_after_bind(); });
+}
+
+CloudService::~CloudService() {
+  server_.stop();
+  serving_.join();
+}
+
+size_t CloudService::machines() const {
+  std::lock_guard lock(mutex_);
+  return workers_.size();
+}
+
+void CloudService::Route() {
+  using Request = httplib::Request;
+  using Response = httplib::Response;
+  server_.Get("/catalog", [](const Request&, Response& r) {
+    Answer(r, 200,
+           {{"builds",
+             {{{"name", "small"},
+               {"cores", 4},
+               {"cards", 0},
+               {"memory_gb", 16},
+               {"cache_gb", 50},
+               {"pull_gb_per_s", 1.0},
+               {"price", 0.2},
+               {"spot_price", 0.08},
+               {"ready_s", 2},
+               {"rooms", {"a", "b"}}}}}});
+  });
+  server_.Post("/hosts", [this](const Request& q, Response& r) { Rent(q, r); });
+  server_.Post("/hosts/release",
+               [this](const Request& q, Response& r) { Release(q, r); });
+  server_.Get("/hosts", [this](const Request& q, Response& r) { List(q, r); });
+}
+
+void CloudService::Rent(const httplib::Request& request,
+                        httplib::Response& response) {
+  const json body = json::parse(request.body);
+  std::lock_guard lock(mutex_);
+  std::vector<std::string>& names = rented_[body.at("hire")];
+  const int left = capacity_ - static_cast<int>(workers_.size());
+  if (names.empty() && left <= 0)
+    return Answer(response, 503, {{"error", "no capacity"}});
+  const int count =
+      names.empty() ? std::min(left, body.at("number").get<int>()) : 0;
+  for (int i = 0; i < count; ++i) {
+    char name[16];
+    std::snprintf(name, sizeof(name), "n-%06d", next_machine_++);
+    names.emplace_back(name);
+    zones_[name] = body.at("room");
+    workers_[name] = std::make_unique<StandInWorker>(
+        name, body.at("build"), body.at("room"), body.at("loaners"),
+        worker_settings_, book_, history_);
+  }
+  Answer(response, 200, {{"perches", names}});
+}
+
+void CloudService::Release(const httplib::Request& request,
+                           httplib::Response& response) {
+  std::vector<std::unique_ptr<StandInWorker>> gone;
+  {
+    std::lock_guard lock(mutex_);
+    const json names = json::parse(request.body).at("perches");
+    for (const std::string name : names) {
+      const auto worker = workers_.find(name);
+      if (worker == workers_.end()) continue;
+      gone.push_back(std::move(worker->second));
+      workers_.erase(worker);
+    }
+  }
+  gone.clear();  // waits for their threads; they are gone before the answer
+  Answer(response, 200, json::object());
+}
+
+void CloudService::List(const httplib::Request& request,
+                        httplib::Response& response) {
+  std::lock_guard lock(mutex_);
+  const std::string after = request.get_param_value("after");
+  json machines = json::array();
+  for (const auto& [name, worker] : workers_) {
+    if (name <= after) continue;
+    machines.push_back({{"uid", name},
+                        {"endpoint", worker->address()},
+                        {"build", "small"},
+                        {"room", zones_[name]},
+                        {"loaners", false},
+                        {"status", "running"},
+                        {"held_s", 10.0}});
+  }
+  Answer(response, 200, {{"perches", machines}, {"has_next", false}});
+}
+
+}  // namespace sorrelwood::test
--- /dev/null
+++ b/tests/loopback/controllers.cc
@@ -0,0 +1,154 @@
+#include "loopback/controllers.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <httplib.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "http/endpoint.h"
+
+namespace sorrelwood::test {
+namespace {
+
+using nlohmann::json;
+
+// A port of loopback that nobody has. Another process could take it before it
+// is used; tests on one machine run long enough apart for that not to matter.
+int FreePort() {
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof(address);
+  const bool bound =
+      bind(socket, reinterpret_cast<sockaddr*>(&address), length) == 0 &&
+      getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length) == 0;
+  close(socket);
+  return bound ? ntohs(address.sin_port) : 0;
+}
+
+std::string Loopback(int port) { return "127.0.0.1:" + std::to_string(port); }
+
+json Cluster() {
+  return {
+      {"teams",
+       {{{"name", "hot"}, {"cpus", 40}, {"cpus_max", 2000}},
+        {{"name", "calm"}, {"cpus", 40}, {"cpus_max", 2000}}}},
+      {"objectives", json::array()},
+      {"workers", {{"report_s", 0.5}, {"lease_s", 6.0}, {"cancel_s", 24.0}}},
+      {"state",
+       {{"rps", 500.0},
+        {"write_rps", 300.0},
+        {"value_kb", 16.0},
+        {"txn_ops", 16}}},
+      {"cloud", {{"rps", 20.0}, {"list_lag_s", 1.0}}},
+      {"machine_limits", {{"ram_mb", 400.0}, {"sockets", 1500}}}};
+}
+
+}  // namespace
+
+Controllers::Controllers(int count, int state_port, int cloud_port,
+                         const std::string& operator_settings) {
+  char directory[] = "/tmp/sorrelwood-loopback-XXXXXX";
+  directory_ = mkdtemp(directory);
+  operator_config_ = directory_ + "/operator.txtpb";
+  std::ofstream(operator_config_) << operator_settings;
+  std::vector<json> settings;
+  for (int i = 0; i < count; ++i) {
+    const std::string name = "controller-" + std::to_string(i);
+    settings.push_back(
+        {{"node_name", name},
+         {"site", i % 2 ? "b" : "a"},
+         {"serve_on", Loopback(FreePort())},
+         {"mesh_addr", Loopback(FreePort())},
+         {"outside",
+          {{"cloud", Loopback(cloud_port)}, {"state", Loopback(state_port)}}},
+         {"cluster", Cluster()}});
+    addresses_[name] = settings.back()["serve_on"];
+  }
+  for (int i = 0; i < count; ++i) {
+    json siblings = json::array();
+    for (int other = 0; other < count; ++other)
+      if (other != i)
+        siblings.push_back({{"node_name", settings[other]["node_name"]},
+                            {"site", settings[other]["site"]},
+                            {"addr", settings[other]["mesh_addr"]}});
+    settings[i]["siblings"] = siblings;
+    Process process;
+    process.config = directory_ + "/" + std::to_string(i) + ".json";
+    process.log = directory_ + "/" + std::to_string(i) + ".log";
+    process.address = settings[i]["serve_on"];
+    std::ofstream(process.config) << settings[i].dump();
+    processes_.push_back(process);
+    Start(i);
+  }
+}
+
+Controllers::~Controllers() {
+  for (size_t i = 0; i < processes_.size(); ++i) Kill(static_cast<int>(i));
+}
+
+void Controllers::Start(int index) {
+  Process& process = processes_[static_cast<size_t>(index)];
+  if (process.pid > 0) return;
+  process.pid = fork();
+  if (process.pid != 0) return;
+  const int log = open(process.log.c_str(),
+                       O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  dup2(log, STDERR_FILENO);
+  execl(SORRELWOOD_PROGRAM, "sorrelwood", "--operator-config",
+        operator_config_.c_str(), "--config", process.config.c_str(), nullptr);
+  _exit(127);
+}
+
+void Controllers::Kill(int index) {
+  Process& process = processes_[static_cast<size_t>(index)];
+  if (process.pid <= 0) return;
+  kill(process.pid, SIGKILL);
+  waitpid(process.pid, nullptr, 0);
+  process.pid = -1;
+}
+
+void Controllers::Freeze(int index) {
+  kill(processes_[static_cast<size_t>(index)].pid, SIGSTOP);
+}
+
+void Controllers::Resume(int index) {
+  kill(processes_[static_cast<size_t>(index)].pid, SIGCONT);
+}
+
+double Controllers::Metric(int index, const std::string& name) const {
+  Endpoint endpoint;
+  ParseEndpoint(processes_[static_cast<size_t>(index)].address, &endpoint);
+  httplib::Client client(endpoint.host, endpoint.port);
+  client.set_connection_timeout(1);
+  client.set_read_timeout(1);
+  const auto result = client.Get("/metrics");
+  if (!result || result->status != 200) return -1;
+  const std::string label = "sorrelwood_state{of=\"" + name + "\"} ";
+  const size_t at = result->body.find(label);
+  if (at == std::string::npos) return -1;
+  return std::strtod(result->body.c_str() + at + label.size(), nullptr);
+}
+
+int Controllers::Leader() const {
+  int leader = -1;
+  double term = -1;
+  for (size_t i = 0; i < processes_.size(); ++i) {
+    const int index = static_cast<int>(i);
+    if (Metric(index, "leading") < 1 || Metric(index, "term") <= term) continue;
+    leader = index;
+    term = Metric(index, "term");
+  }
+  return leader;
+}
+
+}  // namespace sorrelwood::test
--- /dev/null
+++ b/tests/loopback/state_service.cc
@@ -0,0 +1,197 @@
+#include "loopback/state_service.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "loopback/history.h"
+
+namespace sorrelwood::test {
+namespace {
+
+using nlohmann::json;
+
+// One for each connection that controllers keep open.
+constexpr size_t kThreads = 96;
+constexpr size_t kMaxRequests = 1000000;
+
+void Answer(httplib::Response& response, int status, const json& body) {
+  response.status = status;
+  response.set_content(body.dump(), "application/json");
+}
+
+bool StartsWith(const std::string& text, const std::string& prefix) {
+  return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+uint64_t Number(const httplib::Request& request, const char* name) {
+  return request.has_param(name) ? std::stoull(request.get_param_value(name))
+                                 : 0;
+}
+
+}  // namespace
+
+StateService::StateService() {
+  server_.new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
+  server_.set_keep_alive_max_count(kMaxRequests);
+  server_.set_keep_alive_timeout(60);
+  server_.set_tcp_nodelay(true);
+  Route();
+  port_ = server_.bind_to_any_port("127.0.0.1");
+  serving_ = std::thread([this] { server_.listen_after_bind(); });
+}
+
+StateService::~StateService() {
+  server_.stop();
+  serving_.join();
+}
+
+void StateService::Route() {
+  using Request = httplib::Request;
+  using Response = httplib::Response;
+  server_.Get("/keys", [this](const Request& q, Response& r) { List(q, r); });
+  server_.Get(R"(/keys/(.+))",
+              [this](const Request& q, Response& r) { Get(q, r); });
+  server_.Get("/follow",
+              [this](const Request& q, Response& r) { Follow(q, r); });
+  server_.Post("/multi",
+               [this](const Request& q, Response& r) { Transact(q, r); });
+  server_.Post("/leases", [this](const Request& q, Response& r) {
+    std::lock_guard lock(mutex_);
+    const double ttl_s = json::parse(q.body).at("ttl_ms").get<double>() / 1000;
+    leases_[next_lease_] = {ttl_s, Now() + ttl_s};
+    Answer(r, 200, {{"hold", next_lease_++}});
+  });
+  server_.Post(R"(/leases/(\d+)/renew)", [this](const Request& q, Response& r) {
+    std::lock_guard lock(mutex_);
+    ExpireLeases();
+    const auto lease = leases_.find(std::stoull(q.matches[1]));
+    if (lease == leases_.end()) return Answer(r, 404, json::object());
+    lease->second.until_s = Now() + lease->second.ttl_s;
+    Answer(r, 200, json::object());
+  });
+}
+
+void StateService::ExpireLeases() {
+  for (auto it = leases_.begin(); it != leases_.end();) {
+    if (Now() < it->second.until_s) {
+      ++it;
+      continue;
+    }
+    const uint64_t ended = it->first;
+    it = leases_.erase(it);
+    std::vector<std::string> keys;
+    for (const auto& [key, entry] : entries_)
+      if (entry.lease == ended) keys.push_back(key);
+    if (keys.empty()) continue;
+    ++epoch_;
+    for (const std::string& key : keys) Apply({{"remove", key}});
+    changed_.notify_all();
+  }
+}
+
+void StateService::Get(const httplib::Request& request,
+                       httplib::Response& response) {
+  std::lock_guard lock(mutex_);
+  ExpireLeases();
+  const std::string key = request.matches[1];
+  const auto entry = entries_.find(key);
+  if (entry == entries_.end())
+    return Answer(response, 404, {{"epoch", epoch_}});
+  Answer(response, 200,
+         {{"k", key},
+          {"data", entry->second.data},
+          {"stamp", entry->second.stamp}});
+}
+
+void StateService::List(const httplib::Request& request,
+                        httplib::Response& response) {
+  std::lock_guard lock(mutex_);
+  ExpireLeases();
+  const std::string prefix = request.get_param_value("under");
+  const std::string after = request.get_param_value("after");
+  const size_t most = std::max<uint64_t>(1, Number(request, "most"));
+  json pairs = json::array();
+  bool more = false;
+  auto it = after.empty() ? entries_.lower_bound(prefix)
+                          : entries_.upper_bound(after);
+  for (; it != entries_.end() && StartsWith(it->first, prefix); ++it) {
+    if (pairs.size() >= most) {
+      more = true;
+      break;
+    }
+    pairs.push_back({{"k", it->first},
+                     {"data", it->second.data},
+                     {"stamp", it->second.stamp}});
+  }
+  Answer(response, 200,
+         {{"pairs", pairs}, {"has_next", more}, {"epoch", epoch_}});
+}
+
+void StateService::Apply(const json& operation) {
+  if (operation.contains("remove")) {
+    const std::string key = operation.at("remove");
+    if (entries_.erase(key) > 0) changes_.push_back({epoch_, key, nullptr});
+    return;
+  }
+  const std::string key = operation.at("set");
+  entries_[key] = {operation.at("data"), epoch_,
+                   operation.value("hold", uint64_t{0})};
+  changes_.push_back({epoch_, key, operation.at("data")});
+}
+
+void StateService::Transact(const httplib::Request& request,
+                            httplib::Response& response) {
+  std::lock_guard lock(mutex_);
+  ExpireLeases();
+  const json body = json::parse(request.body);
+  const json operations = body.value("then", json::array());
+  for (const json& operation : operations) {
+    const uint64_t lease = operation.value("hold", uint64_t{0});
+    if (lease != 0 && !leases_.count(lease))
+      return Answer(response, 400, {{"error", "no such lease"}});
+  }
+  json failed = json::array();
+  for (const json& guard : body.value("guards", json::array())) {
+    const auto entry = entries_.find(guard.at("k").get<std::string>());
+    const uint64_t stamp = entry == entries_.end() ? 0 : entry->second.stamp;
+    if (stamp != guard.at("stamp").get<uint64_t>())
+      failed.push_back(guard.at("k"));
+  }
+  if (!failed.empty())
+    return Answer(response, 409, {{"failed", failed}, {"epoch", epoch_}});
+  if (!operations.empty()) ++epoch_;
+  for (const json& operation : operations) Apply(operation);
+  changed_.notify_all();
+  Answer(response, 200, {{"epoch", epoch_}});
+}
+
+json StateService::NewsAfter(const std::string& prefix, uint64_t after) const {
+  json news = json::array();
+  for (const Change& change : changes_) {
+    if (change.epoch <= after || !StartsWith(change.key, prefix)) continue;
+    json item = {{"stamp", change.epoch}};
+    item[change.data.is_null() ? "remove" : "set"] = change.key;
+    if (!change.data.is_null()) item["data"] = change.data;
+    news.push_back(std::move(item));
+  }
+  return news;
+}
+
+void StateService::Follow(const httplib::Request& request,
+                          httplib::Response& response) {
+  const std::string prefix = request.get_param_value("under");
+  const uint64_t after = Number(request, "after");
+  const double until_s =
+      Now() + static_cast<double>(Number(request, "wait_ms")) / 1000;
+  constexpr auto kStep = std::chrono::milliseconds(50);
+  std::unique_lock lock(mutex_);
+  json news = NewsAfter(prefix, after);
+  while (news.empty() && Now() < until_s) {
+    changed_.wait_for(lock, kStep);
+    ExpireLeases();
+    news = NewsAfter(prefix, after);
+  }
+  Answer(response, 200, {{"epoch", epoch_}, {"news", news}});
+}
+
+}  // namespace sorrelwood::test
