Scheduler: reports are applied and faults assessed, by the field's names (mechanical)

Hear, HearTask, HearExit and Judge become ApplyReport, ApplyTaskReport, ApplyTaskExit and AssessFault.

--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -33,7 +33,7 @@
                   policy.spread),
       monitor_(context, &machines_, leadership, &fleet_, settings,
                {[this](Machine* machine, const WorkerReport& report) {
-                  Hear(machine, report, /*direct=*/true);
+                  ApplyReport(machine, report, /*direct=*/true);
                 },
                 [this](Machine* machine) { DropUnsent(machine); },
                 [this](Machine* machine) { DropEverything(machine); }}) {
@@ -194,7 +194,7 @@
   Machine* machine = machines_.Find(report.machine);
   if (!machine && !machines_.Gone(report.machine)) {
     // Not listed yet, or a late copy of a report of one that is gone: until it
-    // shows our token it only waits, and not for long (WatchSilent).
+    // shows our token it only waits, and not for long (MachineMonitor).
     machine = machines_.Add(report.machine);
     machine->type_name = report.type;
     machine->type = fleet_.FindType(report.type);
@@ -227,7 +227,7 @@
   if (in_a_row || first || was_silent) machine->unproved_since = context_->now;
   const bool newer = std::make_pair(report.session, report.sequence) >
                      std::make_pair(machine->session, machine->sequence);
-  if (newer) Hear(machine, report, /*direct=*/false);
+  if (newer) ApplyReport(machine, report, /*direct=*/false);
   if (machine->deaf) {
     // Not answered any more, so that its lease is known to run out.
     answer.status = 503;
@@ -260,8 +260,8 @@
   return stops;
 }
 
-void Scheduler::Hear(Machine* machine, const WorkerReport& report,
-                     bool direct) {
+void Scheduler::ApplyReport(Machine* machine, const WorkerReport& report,
+                            bool direct) {
   if (!machine->ever_reported) {
     machine->ever_reported = true;
     machine->came_up_at = context_->now;
@@ -285,7 +285,7 @@
     // for ever.
     for (const TaskReport& task : report.tasks)
       if (task.state == TaskState::kExited && task.reason == ExitReason::kDone)
-        HearTask(machine, task);
+        ApplyTaskReport(machine, task);
     return;
   }
   machine->vouched = true;
@@ -298,7 +298,7 @@
   unaccounted_.ForgetUnknownTasks(*machine);
   for (const TaskReport& task : report.tasks) {
     present.insert({task.job, task.task});
-    HearTask(machine, task);
+    ApplyTaskReport(machine, task);
   }
   std::vector<TaskKey> missing;
   for (const auto& [key, placed] : machine->tasks) {
@@ -344,7 +344,7 @@
   machine->sequence = 0;
 }
 
-void Scheduler::HearTask(Machine* machine, const TaskReport& task) {
+void Scheduler::ApplyTaskReport(Machine* machine, const TaskReport& task) {
   const TaskKey key{task.job, task.task};
   auto it = machine->tasks.find(key);
   Placed* placed =
@@ -352,7 +352,7 @@
           ? nullptr
           : &it->second;
   if (task.state == TaskState::kExited) {
-    HearExit(machine, task, placed);
+    ApplyTaskExit(machine, task, placed);
     return;
   }
   if (!placed) {
@@ -413,8 +413,8 @@
   machine->UseImage(job->spec().image);
 }
 
-void Scheduler::HearExit(Machine* machine, const TaskReport& task,
-                         Placed* placed) {
+void Scheduler::ApplyTaskExit(Machine* machine, const TaskReport& task,
+                              Placed* placed) {
   const TaskKey key{task.job, task.task};
   Job* job = jobs_.Find(task.job);
   const bool waiting = placed && placed->requeue_waiting;
@@ -503,7 +503,7 @@
 // A task has run as it should there: what failed before tells nothing of it.
 void Scheduler::Succeeded(Machine* machine) {
   machine->errors.clear();
-  if (machine->set_aside) Judge(machine);
+  if (machine->set_aside) AssessFault(machine);
 }
 
 // The job's failures elsewhere tell of those machines.
@@ -513,7 +513,7 @@
   job->error_rounds = 0;
   job->retry_at = 0;
   for (const std::string& name : failed_on)
-    if (Machine* other = machines_.Find(name)) Judge(other);
+    if (Machine* other = machines_.Find(name)) AssessFault(other);
 }
 
 void Scheduler::Completed(Job* job, uint32_t task) {
@@ -553,17 +553,17 @@
     context_->Info(job->id() + " fails on every machine");
     // Those that were set aside for it are taken back.
     for (const std::string& name : job->error_machines)
-      if (Machine* other = machines_.Find(name)) Judge(other);
+      if (Machine* other = machines_.Find(name)) AssessFault(other);
   }
   if (proven && ++job->task_errors[task] >= kBadTaskErrors) return;
   if (job->ends_by_itself) return;  // it tells nothing of machines
   ++machine->errors[job->id()];
-  Judge(machine);
+  AssessFault(machine);
 }
 
 // Guards against a machine that swallows the queue, and against jobs that fail
 // everywhere taking good machines with them.
-void Scheduler::Judge(Machine* machine) {
+void Scheduler::AssessFault(Machine* machine) {
   int proven = 0;
   size_t unproven = 0;
   for (const auto& [id, errors] : machine->errors) {
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -65,10 +65,10 @@
 
   // Takes what a machine says of itself. `direct`: it came in answer to a
   // direct command, and may have crossed a launch that is under way.
-  void Hear(Machine* machine, const WorkerReport& report, bool direct);
+  void ApplyReport(Machine* machine, const WorkerReport& report, bool direct);
   void NewSession(Machine* machine, uint64_t session);
-  void HearTask(Machine* machine, const TaskReport& task);
-  void HearExit(Machine* machine, const TaskReport& task, Placed* placed);
+  void ApplyTaskReport(Machine* machine, const TaskReport& task);
+  void ApplyTaskExit(Machine* machine, const TaskReport& task, Placed* placed);
   void Adopt(Machine* machine, const TaskReport& task);
   void DropTask(Machine* machine, std::map<TaskKey, Placed>::iterator it);
   // What was chosen for the machine and not sent goes elsewhere.
@@ -80,7 +80,7 @@
   void Succeeded(Job* job);
   void Failed(Machine* machine, Job* job, uint32_t task);
   // Sets the machine aside, or takes it back, by what has failed there.
-  void Judge(Machine* machine);
+  void AssessFault(Machine* machine);
   void NoticeGiven(Machine* machine);
   std::vector<Command> Orders(Machine* machine, const WorkerReport& report);
   std::vector<Command> StopEnded(const WorkerReport& report) const;
