--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -8,9 +8,13 @@
 read -r -a command <<<"$run"
 [ -x "${command[0]}" ] || { echo "build the program first" >&2; exit 2; }
 driver=target/review/review_driver
-if [ ! -x "$driver" ] || [ -n "$(find review/standins -newer "$driver")" ]; then
-  bash review/build.sh || exit 2
-fi
+mkdir -p target/review || exit 2
+(
+  flock 9  # cases may be started together
+  if [ ! -x "$driver" ] || [ -n "$(find review/standins -newer "$driver")" ]; then
+    bash review/build.sh
+  fi
+) 9>target/review/lock || exit 2
 folder=$(mktemp -d) || exit 2
 timeout -k 1 118 "$driver" "$number" "${TROUBLE:-1}" "$folder" \
   "review/$number/record.txt" "${command[@]}" &
