--- a/review/standins/cluster.cc
+++ b/review/standins/cluster.cc
@@ -76,13 +76,17 @@
         options.lone_zone && i != 0 ? cross() : process.address;
     processes_.push_back(std::move(process));
   }
-  // Direct commands come from controllers of both zones over one address, so a
-  // cut stops them all. Only workers that are silent get any.
-  if (options.lone_zone)
-    for (auto& [room, settings] : workers)
-      settings.make_endpoint = [this](int port) {
-        return Address(AddBorderLink(port)->port());
-      };
+  // Direct commands to zone a cross its border. A worker of zone b is reached
+  // at one address by the controllers of both zones; during a cut those with
+  // the token of the leader in zone a are lost.
+  if (options.lone_zone) {
+    workers["a"].make_endpoint = [this](int port) {
+      return Address(AddBorderLink(port)->port());
+    };
+    workers[""].is_lost = [this](uint64_t baton) {
+      return zone_cut_ && baton == term_of_zone_a_;
+    };
+  }
   for (int i = 0; i < options.controllers; ++i) {
     json siblings = json::array();
     for (int other = 0; other < options.controllers; ++other) {
@@ -115,6 +119,8 @@
 
 void Cluster::CutZone(bool cut) {
   std::lock_guard lock(border_mutex_);
+  if (term_of_zone_a_ == 0)
+    term_of_zone_a_ = state->Value("sw/w/leader").value("term", uint64_t{0});
   zone_cut_ = cut;
   const Proxy::Mode mode = cut ? Proxy::Mode::kReset : Proxy::Mode::kPass;
   processes_[0].state->Set(mode);
--- a/review/standins/cluster.h
+++ b/review/standins/cluster.h
@@ -98,6 +98,7 @@
   std::mutex border_mutex_;
   std::vector<std::unique_ptr<Proxy>> border_;  // links into and out of zone a
   std::atomic<bool> zone_cut_{false};
+  std::atomic<uint64_t> term_of_zone_a_{0};  // of the leader that is cut off
   std::mutex health_mutex_;
   std::vector<Health> health_;
 };
--- a/review/standins/machines.cc
+++ b/review/standins/machines.cc
@@ -102,6 +102,16 @@
   server_.Post("/commands", [this](const httplib::Request& q,
                                    httplib::Response& r) {
     const json body = json::parse(q.body, nullptr, false);
+    if (body.is_object() && body.contains("baton")) {
+      const uint64_t baton = body.at("baton");
+      const bool lost = settings_->is_lost && settings_->is_lost(baton);
+      Record::Line("direct command with baton %lu to %s%s", baton,
+                   name_.c_str(), lost ? ": lost in the cut" : "");
+      if (lost) {
+        SleepFor(2);  // its sender has given up before
+        return Send(r, 503, json::object());
+      }
+    }
     std::lock_guard lock(mutex_);
     if (!body.is_object() || !body.contains("baton") || !body.contains("shift"))
       return Send(r, 400, json::object());
--- a/review/standins/machines.h
+++ b/review/standins/machines.h
@@ -62,6 +62,9 @@
   std::map<std::string, std::string> controllers;  // name -> address
   // Makes the address that the worker is reached at out of its own port.
   std::function<std::string(int)> make_endpoint;
+  // Whether a direct command with this token is lost on its way, since its
+  // sender is on the other side of a cut.
+  std::function<bool(uint64_t)> is_lost;
   double report_s = 0.5, lease_s = 6;
 };
 
