--- a/tests/loopback/controllers.cc
+++ b/tests/loopback/controllers.cc
@@ -40,61 +40,79 @@
   return "127.0.0.1:" + std::to_string(port);
 }
 
-json MakeClusterSettings() {
-  return {
-      {"teams",
-       {{{"name", "hot"}, {"cpus", 40}, {"cpus_max", 2000}},
-        {{"name", "calm"}, {"cpus", 40}, {"cpus_max", 2000}}}},
-      {"objectives", json::array()},
-      {"workers", {{"report_s", 0.5}, {"lease_s", 6.0}, {"cancel_s", 24.0}}},
-      {"state",
-       {{"rps", 500.0},
-        {"write_rps", 300.0},
-        {"value_kb", 16.0},
-        {"txn_ops", 16}}},
-      {"cloud", {{"rps", 20.0}, {"list_lag_s", 1.0}}},
-      {"machine_limits", {{"ram_mb", 400.0}, {"sockets", 1500}}}};
+json MakeClusterSettings(const ControllerOptions& options) {
+  return {{"teams",
+           {{{"name", "hot"}, {"cpus", 40}, {"cpus_max", 2000}},
+            {{"name", "calm"}, {"cpus", 40}, {"cpus_max", 2000}}}},
+          {"objectives", json::array()},
+          {"workers",
+           {{"report_s", options.heartbeat_interval_s},
+            {"lease_s", options.worker_lease_s},
+            {"cancel_s", options.cancel_deadline_s}}},
+          {"state",
+           {{"rps", 500.0},
+            {"write_rps", 300.0},
+            {"value_kb", 16.0},
+            {"txn_ops", 16}}},
+          {"cloud", {{"rps", 20.0}, {"list_lag_s", 1.0}}},
+          {"machine_limits", {{"ram_mb", 400.0}, {"sockets", 1500}}}};
 }
 
 }  // namespace
 
-Controllers::Controllers(int count, int state_port, int cloud_port,
-                         const std::string& operator_settings) {
+Controllers::Controllers(const ControllerOptions& options, int state_port,
+                         int cloud_port)
+    : processes_(static_cast<size_t>(options.count)) {
   char directory[] = "/tmp/sorrelwood-loopback-XXXXXX";
   directory_ = mkdtemp(directory);
   operator_config_ = directory_ + "/operator.txtpb";
-  std::ofstream(operator_config_) << operator_settings;
-  std::vector<json> settings;
-  for (int i = 0; i < count; ++i) {
-    const std::string name = "controller-" + std::to_string(i);
-    settings.push_back({{"node_name", name},
-                        {"site", i % 2 ? "b" : "a"},
-                        {"serve_on", LoopbackAddress(FindFreePort())},
-                        {"mesh_addr", LoopbackAddress(FindFreePort())},
-                        {"outside",
-                         {{"cloud", LoopbackAddress(cloud_port)},
-                          {"state", LoopbackAddress(state_port)}}},
-                        {"cluster", MakeClusterSettings()}});
-    addresses_[name] = settings.back()["serve_on"];
+  std::ofstream(operator_config_) << options.operator_settings;
+  for (size_t i = 0; i < processes_.size(); ++i) {
+    Process& process = processes_[i];
+    process.name = "controller-" + std::to_string(i);
+    process.config = directory_ + "/" + std::to_string(i) + ".json";
+    process.log = directory_ + "/" + std::to_string(i) + ".log";
+    process.address = LoopbackAddress(FindFreePort());
+    addresses_[process.name] = process.address;
   }
-  for (int i = 0; i < count; ++i) {
+  WriteSettings(options, state_port, cloud_port);
+  for (int i = 0; i < options.count; ++i) Start(i);
+}
+
+void Controllers::WriteSettings(const ControllerOptions& options,
+                                int state_port, int cloud_port) {
+  std::vector<int> peer_ports;
+  for (size_t i = 0; i < processes_.size(); ++i)
+    peer_ports.push_back(FindFreePort());
+  const auto zone = [](size_t index) { return index % 2 ? "b" : "a"; };
+  for (size_t i = 0; i < processes_.size(); ++i) {
     json peers = json::array();
-    for (int other = 0; other < count; ++other)
+    for (size_t other = 0; other < processes_.size(); ++other)
       if (other != i)
-        peers.push_back({{"node_name", settings[other]["node_name"]},
-                         {"site", settings[other]["site"]},
-                         {"addr", settings[other]["mesh_addr"]}});
-    settings[i]["siblings"] = peers;
-    Process process;
-    process.config = directory_ + "/" + std::to_string(i) + ".json";
-    process.log = directory_ + "/" + std::to_string(i) + ".log";
-    process.address = settings[i]["serve_on"];
-    std::ofstream(process.config) << settings[i].dump();
-    processes_.push_back(process);
-    Start(i);
+        peers.push_back({{"node_name", processes_[other].name},
+                         {"site", zone(other)},
+                         {"addr", AddLink(peer_ports[other], {i, other})}});
+    const json settings = {{"node_name", processes_[i].name},
+                           {"site", zone(i)},
+                           {"serve_on", processes_[i].address},
+                           {"mesh_addr", LoopbackAddress(peer_ports[i])},
+                           {"siblings", peers},
+                           {"outside",
+                            {{"cloud", AddLink(cloud_port, {i})},
+                             {"state", AddLink(state_port, {i})}}},
+                           {"cluster", MakeClusterSettings(options)}};
+    std::ofstream(processes_[i].config) << settings.dump();
   }
 }
 
+std::string Controllers::AddLink(int target_port,
+                                 const std::vector<size_t>& controllers) {
+  links_.push_back(std::make_unique<TcpProxy>(target_port));
+  for (const size_t index : controllers)
+    processes_[index].links.push_back(links_.back().get());
+  return LoopbackAddress(links_.back()->port());
+}
+
 Controllers::~Controllers() {
   for (size_t i = 0; i < processes_.size(); ++i) Kill(static_cast<int>(i));
 }
@@ -128,6 +146,11 @@
   kill(processes_[static_cast<size_t>(index)].pid, SIGCONT);
 }
 
+void Controllers::SetCut(int index, bool cut) {
+  for (TcpProxy* link : processes_[static_cast<size_t>(index)].links)
+    link->SetCut(cut);
+}
+
 double Controllers::ReadMetric(int index, const std::string& name) const {
   Endpoint endpoint;
   ParseEndpoint(processes_[static_cast<size_t>(index)].address, &endpoint);
--- a/tests/loopback/controllers.h
+++ b/tests/loopback/controllers.h
@@ -4,16 +4,25 @@
 #include <sys/types.h>
 
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "loopback/tcp_proxy.h"
+
 namespace sorrelwood::test {
 
+struct ControllerOptions {
+  int count = 3;
+  std::string operator_settings;
+  double heartbeat_interval_s = 0.5, worker_lease_s = 6;
+  double cancel_deadline_s = 24;
+};
+
 class Controllers {
  public:
-  // Starts `count` controllers; the destructor kills them.
-  Controllers(int count, int state_port, int cloud_port,
-              const std::string& operator_settings);
+  // Starts the controllers; the destructor kills them.
+  Controllers(const ControllerOptions& options, int state_port, int cloud_port);
   ~Controllers();
   Controllers(const Controllers&) = delete;
   Controllers& operator=(const Controllers&) = delete;
@@ -23,6 +32,9 @@
   void Kill(int index);
   void Pause(int index);
   void Resume(int index);
+  // Cuts the controller off from the state service, the cloud and the other
+  // controllers, or connects it again. Workers and users still reach it.
+  void SetCut(int index, bool cut);
 
   // Addresses that workers and users connect to, by controller name.
   const std::map<std::string, std::string>& addresses() const {
@@ -38,12 +50,23 @@
  private:
   struct Process {
     pid_t pid = -1;
-    std::string config, log, address;
+    std::string name, config, log, address;
+    // Its connections to the state service, the cloud and from and to the other
+    // controllers.
+    std::vector<TcpProxy*> links;
   };
+
+  void WriteSettings(const ControllerOptions& options, int state_port,
+                     int cloud_port);
+  // Adds a proxy to the port, which the cuts of these controllers affect, and
+  // returns its address.
+  std::string AddLink(int target_port, const std::vector<size_t>& controllers);
+
   std::string operator_config_;
   std::string directory_;
   std::vector<Process> processes_;
   std::map<std::string, std::string> addresses_;
+  std::vector<std::unique_ptr<TcpProxy>> links_;
 };
 
 }  // namespace sorrelwood::test
--- a/tests/loopback/execution_history.cc
+++ b/tests/loopback/execution_history.cc
@@ -43,6 +43,11 @@
                     [](const ExecutionEvent& event) { return event.starts; }));
 }
 
+std::vector<ExecutionEvent> ExecutionHistory::events() const {
+  std::lock_guard lock(mutex_);
+  return events_;
+}
+
 std::map<std::string, int> ExecutionHistory::CountTasksByMachine() const {
   std::lock_guard lock(mutex_);
   std::map<std::string, int> tasks;
--- a/tests/loopback/execution_history.h
+++ b/tests/loopback/execution_history.h
@@ -25,6 +25,7 @@
   // Describes each task that was on two machines at once, with both machines.
   std::vector<std::string> FindConcurrentExecutions() const;
   size_t CountStarts() const;
+  std::vector<ExecutionEvent> events() const;
   // Number of tasks now on each machine.
   std::map<std::string, int> CountTasksByMachine() const;
 
--- a/tests/loopback/fake_worker.cc
+++ b/tests/loopback/fake_worker.cc
@@ -17,6 +17,8 @@
 constexpr auto kSwitchDelay = std::chrono::milliseconds(300);
 constexpr double kMinRunS = 0.1;
 constexpr size_t kServerThreads = 2;
+// Longer than a controller waits for the answer to pushed commands.
+constexpr auto kLostPushDelay = std::chrono::milliseconds(2000);
 
 }  // namespace
 
@@ -64,18 +66,7 @@
       });
   server_.Post("/commands", [this](const httplib::Request& request,
                                    httplib::Response& response) {
-    const json body = json::parse(request.body);
-    std::lock_guard lock(mutex_);
-    const uint64_t token = body.at("baton");
-    const bool accepted = token >= fencing_token_ &&
-                          body.at("shift").get<uint64_t>() == incarnation_;
-    if (accepted) {
-      changed_ = changed_ || token > fencing_token_;
-      fencing_token_ = token;
-      ExecuteCommands(body.value("orders", json::array()));
-    }
-    response.status = accepted ? 200 : 409;
-    response.set_content(MakeHeartbeat().dump(), "application/json");
+    HandlePush(request, response);
   });
   port_ = server_.bind_to_any_port("127.0.0.1");
   server_thread_ = std::thread([this] { server_.listen_after_bind(); });
@@ -95,6 +86,38 @@
   return "127.0.0.1:" + std::to_string(port_);
 }
 
+bool FakeWorker::HeartbeatPasses() {
+  if (!settings_.zone_cut) return true;
+  std::lock_guard lock(mutex_);
+  return settings_.zone_cut->HeartbeatPasses(name_, zone_, controller_,
+                                             !tasks_.empty());
+}
+
+bool FakeWorker::PushPasses(uint64_t token) const {
+  return !settings_.zone_cut || settings_.zone_cut->PushPasses(zone_, token);
+}
+
+void FakeWorker::HandlePush(const httplib::Request& request,
+                            httplib::Response& response) {
+  const json body = json::parse(request.body);
+  const uint64_t token = body.at("baton");
+  if (!PushPasses(token)) {
+    std::this_thread::sleep_for(kLostPushDelay);
+    response.status = 503;
+    return;
+  }
+  std::lock_guard lock(mutex_);
+  const bool accepted = token >= fencing_token_ &&
+                        body.at("shift").get<uint64_t>() == incarnation_;
+  if (accepted) {
+    changed_ = changed_ || token > fencing_token_;
+    fencing_token_ = token;
+    ExecuteCommands(body.value("orders", json::array()));
+  }
+  response.status = accepted ? 200 : 409;
+  response.set_content(MakeHeartbeat().dump(), "application/json");
+}
+
 void FakeWorker::RunHeartbeatLoop() {
   double last_heartbeat_s = 0;
   while (!stopping_) {
@@ -182,6 +205,10 @@
 }
 
 void FakeWorker::SendHeartbeat() {
+  if (!HeartbeatPasses()) {
+    SwitchController("");
+    return;
+  }
   std::string body;
   uint64_t incarnation = 0;
   {
--- a/tests/loopback/fake_worker.h
+++ b/tests/loopback/fake_worker.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "loopback/execution_history.h"
+#include "loopback/zone_cut.h"
 
 namespace sorrelwood::test {
 
@@ -22,6 +23,7 @@
 struct WorkerSettings {
   std::map<std::string, std::string> controllers;  // name -> address
   double heartbeat_interval_s = 0.5, lease_s = 6;
+  ZoneCut* zone_cut = nullptr;  // null: none
 };
 // How each task of a job behaves.
 struct JobProfile {
@@ -68,6 +70,11 @@
   // Moves tasks whose current state has ended to their next state.
   void AdvanceTasks();
   void SendHeartbeat();
+  // Whether the network lets a heartbeat pass to the current controller.
+  bool HeartbeatPasses();
+  // Whether the network lets pushed commands with the token pass.
+  bool PushPasses(uint64_t token) const;
+  void HandlePush(const httplib::Request& request, httplib::Response& response);
   void ExecuteCommands(const nlohmann::json& orders);
   void StartTask(const std::string& id, uint64_t attempt);
   void StopTask(Task* task, double grace_s);
