Count this leader's own answers to heartbeats with an old token

Cause: for a machine from an earlier term HealthMonitor waited for the leases that an earlier leader may have renewed, and for nothing else. The leader itself answers heartbeats that show the old token, which renews the lease as well; the time of that answer was kept and not used.

Fix: the tasks of a machine have ended one lease after the latest answer of any leader. So that a machine that never shows the token cannot extend this without end, such heartbeats are refused once the renewal window of earlier leaders is over and the machine has had the time to acknowledge a token. The log line that tells of such a machine names the age of its lease.

--- a/src/core/machines/machine.h
+++ b/src/core/machines/machine.h
@@ -25,6 +25,8 @@
   HeartbeatId last_answered;
   // The time of that answer, which may have renewed the worker's lease.
   double last_answered_at = 0;
+  // The time of the first heartbeat answered with 200 in this term. 0: none.
+  double first_answered_at = 0;
   // The time of the latest report of either kind.
   double last_contact_at = 0;
   // The time of the latest heartbeat. Only responses to heartbeats carry start
--- a/src/core/workers/health_monitor.cc
+++ b/src/core/workers/health_monitor.cc
@@ -26,15 +26,27 @@
   return SilenceThresholdS() + kPushTimeoutS + kPushIntervalS;
 }
 
-double HealthMonitor::EarlierTermTasksEndedBy() const {
-  return term_started_at_ + election_->worker_lease_renewal_window_s() +
-         MaxTaskSurvivalS();
+double HealthMonitor::EarlierTermRenewalsEndAt() const {
+  return term_started_at_ + election_->worker_lease_renewal_window_s();
 }
 
-double HealthMonitor::TasksEndedBy(const Machine& machine) const {
+double HealthMonitor::LeaseRenewedAt(const Machine& machine) const {
+  const double answered_at = machine.contact.last_answered_at;
   return machine.lifecycle.from_earlier_term
-             ? EarlierTermTasksEndedBy()
-             : machine.contact.last_answered_at + MaxTaskSurvivalS();
+             ? std::max(answered_at, EarlierTermRenewalsEndAt())
+             : answered_at;
+}
+
+double HealthMonitor::TasksEndedBy(const Machine& machine) const {
+  return LeaseRenewedAt(machine) + MaxTaskSurvivalS();
+}
+
+bool HealthMonitor::MayAnswerWithoutToken(const Machine& machine) const {
+  if (!machine.lifecycle.from_earlier_term) return true;
+  if (context_->now <= EarlierTermRenewalsEndAt()) return true;
+  const double first_answered_at = machine.contact.first_answered_at;
+  return first_answered_at == 0 ||
+         context_->now <= first_answered_at + UnreachableThresholdS();
 }
 
 void HealthMonitor::CheckMachines() {
@@ -127,7 +139,8 @@
     context_->Info(
         "fencing token not acknowledged before all earlier worker leases "
         "expired; treating the machine as empty",
-        {{"machine", machine->name}});
+        {{"machine", machine->name},
+         {"lease_age_s", context_->now - LeaseRenewedAt(*machine)}});
     attempts_->ForgetMachineContents(machine);
   }
   if (early_releases.blocking_recovery && BlocksRecovery(*machine)) {
@@ -159,13 +172,13 @@
          context_->now >= machine.contact.next_push_at;
 }
 
-// Whether all worker leases that an earlier leader may have renewed on the
-// machine have expired. Applies also if the machine reports or is being
-// released. Otherwise a machine that never acknowledges the token would block
-// all jobs of earlier terms and count against every team's limit indefinitely.
+// Whether all worker leases that any leader may have renewed on the machine
+// have expired. Applies also if the machine reports or is being released.
+// Otherwise a machine that never acknowledges the token would block all jobs of
+// earlier terms and count against every team's limit indefinitely.
 bool HealthMonitor::EarlierTermTasksHaveEnded(const Machine& machine) const {
   return machine.lifecycle.from_earlier_term &&
-         context_->now > EarlierTermTasksEndedBy();
+         context_->now > TasksEndedBy(machine);
 }
 
 bool HealthMonitor::BlocksRecovery(const Machine& machine) const {
--- a/src/core/workers/health_monitor.h
+++ b/src/core/workers/health_monitor.h
@@ -41,6 +41,11 @@
   // The silence (s) after which the token has been pushed to a machine and that
   // push has timed out.
   double UnreachableThresholdS() const;
+  // Whether a heartbeat of the machine that does not show this term's token may
+  // be answered. Each answer may renew the lease of tasks of an earlier term,
+  // so the answers to such heartbeats end: otherwise a worker that receives
+  // none of them would block the jobs of earlier terms indefinitely.
+  bool MayAnswerWithoutToken(const Machine& machine) const;
 
  private:
   // Numbers of machines by their contact with this leader.
@@ -72,9 +77,12 @@
     return settings_->worker_lease_s * (1 + kMaxClockDriftRatio) +
            kMaxWorkerStopS;
   }
-  // The time (steady clock, s) by which the tasks of earlier terms have ended
-  // on every worker, even if an earlier leader renewed its lease.
-  double EarlierTermTasksEndedBy() const;
+  // The time (steady clock, s) at which the last earlier leader stops renewing
+  // worker leases.
+  double EarlierTermRenewalsEndAt() const;
+  // The time (steady clock, s) of the latest answer that may have renewed the
+  // machine's worker lease, whether this leader or an earlier one sent it.
+  double LeaseRenewedAt(const Machine& machine) const;
   // The time (steady clock, s) by which the machine's tasks have ended.
   double TasksEndedBy(const Machine& machine) const;
 
--- a/src/core/workers/heartbeat_handler.cc
+++ b/src/core/workers/heartbeat_handler.cc
@@ -57,13 +57,11 @@
   const bool is_latest = heartbeat.id() > machine->contact.last_applied;
   if (is_latest)
     reconciler_->Apply(machine, heartbeat, HeartbeatChannel::kHeartbeat);
-  if (machine->contact.unreachable) {
-    // Refused, so that the worker's lease is certain to expire.
+  if (!MayAnswer(*machine, heartbeat)) {
     RespondUnavailable(std::move(response));
     return;
   }
-  machine->contact.last_answered = heartbeat.id();
-  machine->contact.last_answered_at = context_->now;
+  RecordAnswer(machine, heartbeat);
   response.commands = is_latest && IsFromThisTerm(heartbeat)
                           ? PlaceAndSelectCommands(machine, heartbeat)
                           : commands_->SelectStopsForEndedJobs(heartbeat);
@@ -114,6 +112,21 @@
   if (is_proved || was_silent) contact.delivery_unproven_since = context_->now;
 }
 
+bool HeartbeatHandler::MayAnswer(const Machine& machine,
+                                 const Heartbeat& heartbeat) const {
+  if (machine.contact.unreachable) return false;
+  return IsFromThisTerm(heartbeat) ||
+         health_monitor_->MayAnswerWithoutToken(machine);
+}
+
+void HeartbeatHandler::RecordAnswer(Machine* machine,
+                                    const Heartbeat& heartbeat) {
+  MachineContact& contact = machine->contact;
+  if (IsFirstOfTerm(*machine)) contact.first_answered_at = context_->now;
+  contact.last_answered = heartbeat.id();
+  contact.last_answered_at = context_->now;
+}
+
 std::vector<Command> HeartbeatHandler::PlaceAndSelectCommands(
     Machine* machine, const Heartbeat& heartbeat) {
   unreconciled_->ReserveCapacityIn(placement_);
--- a/src/core/workers/heartbeat_handler.h
+++ b/src/core/workers/heartbeat_handler.h
@@ -49,6 +49,11 @@
   bool IsFromThisTerm(const Heartbeat& heartbeat) const;
   bool ProvesDelivery(const Machine& machine, const Heartbeat& heartbeat) const;
   void RecordDeliveryProof(Machine* machine, const Heartbeat& heartbeat);
+  // Whether the heartbeat may be answered with 200. If not, it is refused, so
+  // that the worker's lease is certain to expire.
+  bool MayAnswer(const Machine& machine, const Heartbeat& heartbeat) const;
+  // Records that the heartbeat is answered, which may renew the worker's lease.
+  void RecordAnswer(Machine* machine, const Heartbeat& heartbeat);
   std::vector<Command> PlaceAndSelectCommands(Machine* machine,
                                               const Heartbeat& heartbeat);
 
