--- a/tests/simulation/fault_injector.cc
+++ b/tests/simulation/fault_injector.cc
@@ -88,6 +88,7 @@
 const FaultInjector::FaultHandler FaultInjector::kHandlers[] = {
     {FaultKind::kLeaderCrash, &FaultInjector::CrashLeader},
     {FaultKind::kFollowerCrash, &FaultInjector::CrashFollower},
+    {FaultKind::kLeaderZoneCutWithGap, &FaultInjector::CutLeaderZone},
     {FaultKind::kAllControllersCrash, &FaultInjector::CrashAllControllers},
     {FaultKind::kAllControllersPause, &FaultInjector::PauseAllControllers},
     {FaultKind::kStateServiceOutage, &FaultInjector::BeginStateOutage},
@@ -195,6 +196,10 @@
   cluster_.controllers().Crash(targets.follower, fault.restart_s);
 }
 
+void FaultInjector::CutLeaderZone(const Fault& fault, const Targets& targets) {
+  zone_cut_.Begin(fault, targets.leader);
+}
+
 void FaultInjector::CrashAllControllers(const Fault& fault, const Targets&) {
   for (int i = 0; i < cluster_.controllers().size(); ++i)
     cluster_.controllers().Crash(i, fault.restart_s);
--- a/tests/simulation/fault_injector.h
+++ b/tests/simulation/fault_injector.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "simulation/options.h"
+#include "simulation/zone_cut.h"
 
 namespace sorrelwood::test {
 
@@ -13,7 +14,8 @@
 
 class FaultInjector {
  public:
-  explicit FaultInjector(SimulatedCluster& cluster) : cluster_(cluster) {}
+  explicit FaultInjector(SimulatedCluster& cluster)
+      : cluster_(cluster), zone_cut_(cluster) {}
 
   void Inject(const Fault& fault);
 
@@ -47,6 +49,7 @@
 
   void CrashLeader(const Fault& fault, const Targets& targets);
   void CrashFollower(const Fault& fault, const Targets& targets);
+  void CutLeaderZone(const Fault& fault, const Targets& targets);
   void CrashAllControllers(const Fault& fault, const Targets& targets);
   void PauseAllControllers(const Fault& fault, const Targets& targets);
   void BeginStateOutage(const Fault& fault, const Targets& targets);
@@ -59,6 +62,7 @@
   void SendUnusualRequests(const Fault& fault, const Targets& targets);
 
   SimulatedCluster& cluster_;
+  ZoneCut zone_cut_;
 };
 
 }  // namespace sorrelwood::test
--- a/tests/simulation/options.h
+++ b/tests/simulation/options.h
@@ -38,6 +38,10 @@
   kPeerMessagesLost,
   // Controllers and workers of different zones are disconnected.
   kZonePartition,
+  // The same, and the controllers of the leader's zone lose the state service.
+  // After `gap_after_s` the partition ends for a moment, in which the next
+  // leader receives and answers a heartbeat of each worker of that zone.
+  kLeaderZoneCutWithGap,
 
   kStateServiceOutage,
   kStateServiceSlow,
@@ -98,10 +102,11 @@
 struct Fault {
   double at_s = 0;
   FaultKind kind = FaultKind::kLeaderCrash;
-  double for_s = 0;      // duration, for kinds that last
-  double restart_s = 0;  // approximate time until the restart, for crashes
-  double share = 0.5;    // of messages or jobs, for kinds with a share
-  size_t count = 1;      // of machines or jobs, for kinds with a count
+  double for_s = 0;        // duration, for kinds that last
+  double restart_s = 0;    // approximate time until the restart, for crashes
+  double share = 0.5;      // of messages or jobs, for kinds with a share
+  size_t count = 1;        // of machines or jobs, for kinds with a count
+  double gap_after_s = 0;  // from the begin to the gap, for kinds with a gap
 };
 
 // Times are seconds since the start of the run unless noted otherwise.
--- a/tests/simulation/scenarios/basic_scenarios.cc
+++ b/tests/simulation/scenarios/basic_scenarios.cc
@@ -238,6 +238,16 @@
   table.last().options.cancel_share = 0.6;
   table.last().options.run_time_factor = 4;
   table.last().options.policy.speculation_limit_s = 900;
+  table.Add("zone_cut_with_gap",
+            "Tasks are restarted although the next leader has answered their "
+            "workers in a gap of the cut.",
+            ExpectedProgress::kSomeJobs,
+            {{.at_s = 50,
+              .kind = kLeaderZoneCutWithGap,
+              .for_s = 70,
+              .gap_after_s = 31}});
+  table.last().options.run_time_factor = 3;
+  table.last().options.policy.speculation_limit_s = 900;
 }
 
 // Machines crash, hang, or are partitioned.
