Renew no worker lease once the leader key is known to be lost

Callers could see a task run on two machines when a leader that was cut off reaches the state service again.

Cause: an answer to a watch extends the time for which a leader may answer heartbeats, also if it reports that the leader key has changed; the key was compared in the next tick only (40 ms). A heartbeat in between was answered with 200, after the time for which the next leader waits.

Fix: LeaderElection::HoldsLeaderKey, asked by MayRenewWorkerLeases, by MayDispatch and by the tick.

Result: WorkerLease.IsNotRenewedOnceTheLeaderKeyIsLost failed before (200) and passes now, as do Leader.* and the runbook test.

--- a/src/core/coordination/leader_election.cc
+++ b/src/core/coordination/leader_election.cc
@@ -39,8 +39,8 @@
 }
 
 bool LeaderElection::MayRenewWorkerLeases() const {
-  return leading_ && context_->now < job_cache_->synced_at() +
-                                         worker_lease_renewal_window_s_;
+  return HoldsLeaderKey() && context_->now < job_cache_->synced_at() +
+                                                 worker_lease_renewal_window_s_;
 }
 
 void LeaderElection::ObserveTerm(uint64_t term) {
@@ -76,8 +76,7 @@
   if (job_cache_->leader_known())
     highest_term_ = std::max(highest_term_, job_cache_->leader().term);
   if (leading_) {
-    if (job_cache_->leader_known() &&
-        job_cache_->leader_version() != leader_key_version_) {
+    if (!HoldsLeaderKey()) {
       StepDown("the leader key has changed");
       return;
     }
--- a/src/core/coordination/leader_election.h
+++ b/src/core/coordination/leader_election.h
@@ -21,6 +21,12 @@
   void ObserveTerm(uint64_t term);
 
   bool leading() const { return leading_; }
+  // Whether this node leads and its job cache shows the leader key as its own.
+  // When a watch reports that the key is lost, this is false at once, before
+  // the next Tick() steps down.
+  bool HoldsLeaderKey() const {
+    return leading_ && job_cache_->leader_version() == leader_key_version_;
+  }
   uint64_t term() const { return term_; }
   uint64_t highest_term() const { return highest_term_; }
   // Makes late writes of a replaced leader fail.
@@ -32,7 +38,7 @@
   // count: other nodes may have confirmed cancellations that this node has not
   // seen.
   bool MayDispatch() const {
-    return leading_ && !renewal_refused_ &&
+    return HoldsLeaderKey() && !renewal_refused_ &&
            context_->now < dispatch_deadline() &&
            context_->now < job_cache_->synced_at() + kDispatchMaxCacheAgeS;
   }
--- a/tests/worker_lease_test.cc
+++ b/tests/worker_lease_test.cc
@@ -171,5 +171,22 @@
   }
 }
 
+// Guards against a task on two machines: a leader that was cut off learns that
+// another one leads, and must not renew a lease before it steps down. The other
+// leader does not count this answer.
+TEST(WorkerLease, IsNotRenewedOnceTheLeaderKeyIsLost) {
+  Leader leader(kHeartbeatIntervalS);
+  leader.Run(2);
+  HealthyMachine machine{"n-1"};
+  machine.SendHeartbeat(&leader);
+  const uint64_t token = leader.token();
+  EXPECT_EQ(leader.OnHeartbeat("n-1", 1, 2, token).status, 200);
+  leader.Run(2);  // writes the machine's record
+  leader.SetLeader("node-1", token + 1);
+  while (!leader.WatchIsCurrent()) leader.Run(0.05);
+  ASSERT_TRUE(leader.leading());
+  EXPECT_EQ(leader.OnHeartbeat("n-1", 1, 3, token).status, 503);
+}
+
 }  // namespace
 }  // namespace sorrelwood
