--- /dev/null
+++ b/tests/state_writer_test.cc
@@ -0,0 +1,69 @@
+// Tests in which order the leader writes to the state service.
+#include "core/coordination/state_writer.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "core/coordination/keys.h"
+#include "scripted_leader.h"
+
+namespace sorrelwood {
+namespace {
+
+// Records that must be written before a launch do not queue behind progress.
+TEST(StateWriter, UrgentRecordsGoFirst) {
+  Context context(1);
+  JobCache job_cache(&context);
+  LeaderElection election(&context, &job_cache, "node-0", 14, 39);
+  ClusterSettings settings;
+  const StateLimitTracker limits(settings);
+  StateWriter writer(&context, &election, &limits);
+  for (int i = 0; i < 100; ++i)
+    writer.Put(keys::ForCompletions("job-" + std::to_string(i), 0), "{}");
+  writer.Put(keys::ForMachine("n-1"), "{}",
+             {nullptr, nullptr, /*urgent=*/true});
+  context.now = 10;
+  writer.Tick();
+  ASSERT_FALSE(context.actions.empty());
+  const auto* sent = std::get_if<StateTransaction>(&context.actions.front());
+  ASSERT_NE(sent, nullptr);
+  EXPECT_EQ(sent->mutations.front().key, keys::ForMachine("n-1"));
+}
+
+// Job ends are written at a minimum rate even if many arrays write progress.
+TEST(StateWriter, ProgressDoesNotBlockJobEnds) {
+  Context context(1);
+  JobCache job_cache(&context);
+  LeaderElection election(&context, &job_cache, "node-0", 14, 39);
+  ClusterSettings settings;
+  const StateLimitTracker limits(settings);
+  StateWriter writer(&context, &election, &limits);
+  int ends = 0, progress = 0;
+  for (int tick = 0; tick < 250; ++tick) {
+    context.now = 100 + 0.04 * tick;
+    for (int i = 0; i < 100; ++i)
+      writer.Put(keys::ForCompletions("job-" + std::to_string(i), 0), "{}");
+    writer.Tick();
+    for (; writer.MayCommitJobEnd(); ++ends)
+      writer.CommitJobEnd({}, {{true, "a", "", 0}, {true, "b", "", 0}},
+                          [](const StateResult&) {});
+    for (const Action& action : std::exchange(context.actions, {})) {
+      const auto* sent = std::get_if<StateTransaction>(&action);
+      if (!sent) continue;
+      if (sent->mutations.front().key != "a")
+        progress += static_cast<int>(sent->mutations.size());
+      StateResult result;
+      result.id = sent->id;
+      result.outcome = Outcome::kOk;
+      context.Deliver(result);
+    }
+  }
+  const double rate = settings.state_mutations_per_s * kLeaderWriteShare;
+  EXPECT_GT(2 * ends, 10 * rate * 0.4);
+  EXPECT_GT(progress, 10 * rate * 0.4);
+  EXPECT_LT(2 * ends + progress, 12 * rate);
+}
+
+}  // namespace
+}  // namespace sorrelwood
