Leader election: ask for the leader key only where it can differ

No test went red with that guard taken out (a trial on a scratch copy), and none can: starts leave in answers to heartbeats, which MayRenewWorkerLeases guards, and everything else that asks MayDispatch runs in a tick, after LeaderElection::Tick has compared the key. The guard goes; MayRenewWorkerLeases and the tick keep theirs, both of which turn a test red when taken out (WorkerLease.IsNotRenewedOnceTheLeaderKey IsLost, Leader.DelaysItsNextElectionAfterResigning).

Result: WorkerLease.* and Leader.* pass.

--- a/src/core/coordination/leader_election.h
+++ b/src/core/coordination/leader_election.h
@@ -38,7 +38,7 @@
   // count: other nodes may have confirmed cancellations that this node has not
   // seen.
   bool MayDispatch() const {
-    return HoldsLeaderKey() && !renewal_refused_ &&
+    return leading_ && !renewal_refused_ &&
            context_->now < dispatch_deadline() &&
            context_->now < job_cache_->synced_at() + kDispatchMaxCacheAgeS;
   }
