--- a/tests/scripted_leader.h
+++ b/tests/scripted_leader.h
@@ -163,6 +163,8 @@
   }
   bool leading() { return controller_->CollectStatistics().leading; }
   double now() const { return now_; }
+  // Release requests that were sent to the cloud.
+  int releases_requested = 0;
   // Seconds left at the last release request until its send deadline.
   double last_release_window_s = 0;
   // Machines that provisioning returns, in order; without any the cloud reports
@@ -377,6 +379,7 @@
       DeliverResult(result);
   }
   void Serve(const ReleaseMachines& release) {
+    ++releases_requested;
     DeliverCloudResult(release.id, !cloud_unavailable);
   }
   void Serve(const ListCloudMachines& list) {
--- a/tests/worker_lease_test.cc
+++ b/tests/worker_lease_test.cc
@@ -54,9 +54,7 @@
     leader_.cloud_unavailable = true;
     leader_.AddMachineRecord("n-1");
     leader_.AddJob("job-000001", 1);
-    while (!leader_.leading()) leader_.Run(0.1);
-    term_started_at_ = now();
-    lease_renewed_at_ = term_started_at_ + RenewalWindowS();
+    WaitForElection();
   }
 
   Leader& leader() { return leader_; }
@@ -87,6 +85,13 @@
     }
     return false;
   }
+  // Another node leads for a moment, then this one is elected again.
+  void LoseAndRegainLead() {
+    leader_.SetLeader("node-1", leader_.token() + 1);
+    while (leader_.leading()) leader_.Run(0.1);
+    leader_.RemoveLeader();
+    WaitForElection();
+  }
   bool StartsOnOtherMachine() { return other_.SendHeartbeat(&leader_) > 0; }
   // Whether the task runs: the lease has not expired since the latest answer of
   // this leader, or since the latest possible one of the earlier leader.
@@ -95,6 +100,12 @@
   }
 
  private:
+  void WaitForElection() {
+    while (!leader_.leading()) leader_.Run(0.1);
+    term_started_at_ = now();
+    lease_renewed_at_ = term_started_at_ + RenewalWindowS();
+  }
+
   Leader leader_;
   HealthyMachine other_{"n-2"};
   uint64_t sequence_ = 10;
@@ -171,6 +182,49 @@
   }
 }
 
+// Guards against a task on two machines: the leader's process is paused after
+// an answer, until after the leases of earlier leaders, and restarts the task
+// in its first round.
+TEST(WorkerLease, AnAnswerBeforeAPauseCounts) {
+  InheritedMachine machine;
+  EXPECT_FALSE(machine.WaitForStart(34));
+  ASSERT_TRUE(machine.SendOldHeartbeat());
+  machine.leader().PauseProcess(8);
+  ASSERT_TRUE(machine.WaitForStart(60));
+  EXPECT_FALSE(machine.HoldsTask());
+}
+
+// Guards against a task on two machines: a node that is elected again relies on
+// the time of its first term, although another leader answered in between.
+TEST(WorkerLease, ASecondTermOfTheSameNodeCountsFromItsOwnStart) {
+  for (const double first_term_s : {20.0, 36.0}) {
+    SCOPED_TRACE(first_term_s);
+    InheritedMachine machine;
+    EXPECT_FALSE(machine.WaitForStart(first_term_s));
+    ASSERT_TRUE(machine.SendOldHeartbeat());
+    const uint64_t first_term = machine.leader().token();
+    machine.LoseAndRegainLead();
+    ASSERT_GT(machine.leader().token(), first_term);
+    ASSERT_TRUE(machine.WaitForStart(60));
+    EXPECT_FALSE(machine.HoldsTask());
+  }
+}
+
+// Guards against a task on two machines: the machine is being released, which
+// the cloud does not carry out, and its heartbeats are still answered.
+TEST(WorkerLease, AnAnswerToAMachineThatIsBeingReleasedCounts) {
+  InheritedMachine machine;
+  EXPECT_FALSE(machine.WaitForStart(26));
+  ASSERT_GT(machine.leader().releases_requested, 0);
+  ASSERT_FALSE(machine.leader().Released("n-1"));
+  for (int i = 0; i < 3; ++i) {
+    ASSERT_TRUE(machine.SendOldHeartbeat());
+    EXPECT_FALSE(machine.WaitForStart(4));
+  }
+  ASSERT_TRUE(machine.WaitForStart(60));
+  EXPECT_FALSE(machine.HoldsTask());
+}
+
 // Guards against a task on two machines: a leader that was cut off learns that
 // another one leads, and must not renew a lease before it steps down. The other
 // leader does not count this answer.
