--- a/tests/state_writer_test.cc
+++ b/tests/state_writer_test.cc
@@ -11,14 +11,21 @@
 namespace sorrelwood {
 namespace {
 
+// A writer with what it depends on. The node does not lead.
+struct WriterOfOneNode {
+  Context context{1};
+  JobCache job_cache{&context};
+  LeaderElection election{&context, &job_cache, "node-0", 14, 39};
+  ClusterSettings settings;
+  StateLimitTracker limits{settings};
+  StateWriter writer{&context, &election, &limits};
+};
+
 // Records that must be written before a launch do not queue behind progress.
 TEST(StateWriter, UrgentRecordsGoFirst) {
-  Context context(1);
-  JobCache job_cache(&context);
-  LeaderElection election(&context, &job_cache, "node-0", 14, 39);
-  ClusterSettings settings;
-  const StateLimitTracker limits(settings);
-  StateWriter writer(&context, &election, &limits);
+  WriterOfOneNode node;
+  Context& context = node.context;
+  StateWriter& writer = node.writer;
   for (int i = 0; i < 100; ++i)
     writer.Put(keys::ForCompletions("job-" + std::to_string(i), 0), "{}");
   writer.Put(keys::ForMachine("n-1"), "{}",
@@ -33,12 +40,9 @@
 
 // Job ends are written at a minimum rate even if many arrays write progress.
 TEST(StateWriter, ProgressDoesNotBlockJobEnds) {
-  Context context(1);
-  JobCache job_cache(&context);
-  LeaderElection election(&context, &job_cache, "node-0", 14, 39);
-  ClusterSettings settings;
-  const StateLimitTracker limits(settings);
-  StateWriter writer(&context, &election, &limits);
+  WriterOfOneNode node;
+  Context& context = node.context;
+  StateWriter& writer = node.writer;
   int ends = 0, progress = 0;
   for (int tick = 0; tick < 250; ++tick) {
     context.now = 100 + 0.04 * tick;
@@ -59,7 +63,7 @@
       context.Deliver(result);
     }
   }
-  const double rate = settings.state_mutations_per_s * kLeaderWriteShare;
+  const double rate = node.settings.state_mutations_per_s * kLeaderWriteShare;
   EXPECT_GT(2 * ends, 10 * rate * 0.4);
   EXPECT_GT(progress, 10 * rate * 0.4);
   EXPECT_LT(2 * ends + progress, 12 * rate);
