Task resources: one type for what tasks use, reserve and leave free

Machine, task attempts, moves and both kinds of preemption each held cores, devices and memory as numbers of their own, with five copies of the same sums and comparisons. They share TaskResources now.

--- a/src/core/autoscaling/baseline.cc
+++ b/src/core/autoscaling/baseline.cc
@@ -17,7 +17,7 @@
   double used_cpus = 0;
   for (auto& [name, machine] : machines_->all()) {
     machine->role.baseline = false;
-    used_cpus += machine->cpus_used;
+    used_cpus += machine->used.cpus;
     if (machine->InService()) in_service.push_back(machine.get());
   }
   // Until the first machines are up the load is unknown.
--- a/src/core/autoscaling/excess_drainer.cc
+++ b/src/core/autoscaling/excess_drainer.cc
@@ -26,7 +26,7 @@
 
 ExcessRank RankOf(const Machine& machine) {
   return {machine.role.baseline, -PricePerCpu(machine),
-          !machine.role.was_excess, machine.cpus_used / machine.type->cpus};
+          !machine.role.was_excess, machine.used.cpus / machine.type->cpus};
 }
 
 }  // namespace
@@ -81,7 +81,7 @@
 // moving a task costs a checkpoint, a fetch and a start.
 bool ExcessDrainer::MayDrain(const Machine& machine, bool premium) const {
   if (!machine.role.excess || machine.attempts.empty()) return false;
-  if (!premium && machine.cpus_used > machine.type->cpus * kDrainMaxUsedShare)
+  if (!premium && machine.used.cpus > machine.type->cpus * kDrainMaxUsedShare)
     return false;
   return std::all_of(machine.attempts.begin(), machine.attempts.end(),
                      [&](const auto& item) {
@@ -99,7 +99,7 @@
   for (Machine* machine : machines) {
     const bool premium =
         PricePerCpu(*machine) >= lowest_price * kPremiumPriceRatio;
-    const double needed_cpus = machine->cpus_used * kDrainFreeCapacityRatio;
+    const double needed_cpus = machine->used.cpus * kDrainFreeCapacityRatio;
     // Prevents the stop of tasks for which no other machine has room.
     if (needed_cpus > free_cpus || !MayDrain(*machine, premium)) continue;
     free_cpus -= needed_cpus;
--- a/src/core/balance/imbalance.cc
+++ b/src/core/balance/imbalance.cc
@@ -13,7 +13,7 @@
   double largest = 0;
   for (const auto& [task_id, attempt] : machine.attempts)
     if (attempt.record->spec.team == team)
-      largest = std::max(largest, attempt.cpus);
+      largest = std::max(largest, attempt.resources.cpus);
   return largest;
 }
 
@@ -35,7 +35,7 @@
   }
   const double total_bound = std::max(bounds_->TotalBound(*machine), largest);
   crowded.excess_cpus =
-      std::max(crowded.excess_cpus, machine->cpus_used - total_bound);
+      std::max(crowded.excess_cpus, machine->used.cpus - total_bound);
   return crowded;
 }
 
@@ -46,11 +46,11 @@
     if (movable >= crowded.excess_cpus) break;
     for (auto& [group, cpus] : *spare) {
       const auto& [type, zone, spot] = group;
-      if (cpus < attempt.cpus ||
+      if (cpus < attempt.resources.cpus ||
           !AllowsLocation(attempt.record->spec, *type, zone, spot))
         continue;
-      cpus -= attempt.cpus;
-      movable += attempt.cpus;
+      cpus -= attempt.resources.cpus;
+      movable += attempt.resources.cpus;
       break;
     }
   }
@@ -63,14 +63,14 @@
   double used_cpus = 0;
   for (auto& [name, machine] : machines->all()) {
     if (!LoadBounds::IsIncluded(*machine)) continue;
-    used_cpus += machine->cpus_used;
+    used_cpus += machine->used.cpus;
     CrowdedMachine crowded = MeasureExcess(machine.get());
     if (crowded.excess_cpus > 0)
       imbalance.crowded.push_back(std::move(crowded));
     // A machine over one team's bound may still have capacity for other teams.
     const double spare_cpus =
         std::min(machine->cpus_free(),
-                 bounds_->TotalBound(*machine) - machine->cpus_used);
+                 bounds_->TotalBound(*machine) - machine->used.cpus);
     if (spare_cpus > 0)
       spare[{machine->type, machine->zone, machine->spot}] += spare_cpus;
   }
--- a/src/core/balance/load_bounds.cc
+++ b/src/core/balance/load_bounds.cc
@@ -58,7 +58,7 @@
   if (team_cpus > 0 &&
       team_cpus + spec.cpus > TeamBound(spec.team, machine) + kResourceRounding)
     return false;
-  return machine.cpus_used <= 0 || machine.cpus_used + spec.cpus <=
+  return machine.used.cpus <= 0 || machine.used.cpus + spec.cpus <=
                                        TotalBound(machine) + kResourceRounding;
 }
 
--- a/src/core/balance/rebalancer.cc
+++ b/src/core/balance/rebalancer.cc
@@ -81,7 +81,7 @@
     if (!LoadBounds::IsIncluded(*machine) ||
         !placement_->eligibility().AcceptsTasks(*machine) ||
         machine->cpus_free() <= 0 || speeds_.IsSlow(name) ||
-        machine->cpus_used + machine->reserved_cpus >=
+        machine->used.cpus + machine->reserved.cpus >=
             bounds_.TotalBound(*machine))
       continue;
     targets_.Add(machine.get());
@@ -109,7 +109,7 @@
   Machine* machine = crowded->machine;
   // Tasks that are being stopped no longer count towards the excess.
   for (const auto& [task_id, attempt] : machine->attempts)
-    if (attempt.stop) crowded->excess_cpus -= attempt.cpus;
+    if (attempt.stop) crowded->excess_cpus -= attempt.resources.cpus;
   for (auto& [task_id, attempt] : machine->attempts) {
     if (crowded->excess_cpus <= 0) return;
     const std::string& team = attempt.record->spec.team;
@@ -126,8 +126,8 @@
     Machine* target = ChooseTarget(*job, *machine);
     if (!target) continue;
     StartMove(task_id, &attempt, machine, target, MoveReason::kCrowded);
-    crowded->excess_cpus -= attempt.cpus;
-    if (team_excess) *team_excess -= attempt.cpus;
+    crowded->excess_cpus -= attempt.resources.cpus;
+    if (team_excess) *team_excess -= attempt.resources.cpus;
   }
 }
 
@@ -179,7 +179,7 @@
       ++context_->items_examined;
       if (!CanMoveTo(*machine, job, from)) continue;
       const double load =
-          (machine->cpus_used + machine->reserved_cpus) / machine->cpus();
+          (machine->used.cpus + machine->reserved.cpus) / machine->cpus();
       const std::pair<double, uint64_t> rank{
           load, ImageAffinityRank(spec.image, machine->name)};
       if (best && best_rank <= rank) continue;
@@ -196,9 +196,8 @@
   const JobSpec& spec = attempt->record->spec;
   if (!budget_.Allows(spec.team, task_id.job, context_->now)) return;
   budget_.RecordMove(spec.team, task_id.job, context_->now);
-  Move move{from->name,    target->name,       attempt->cpus,
-            attempt->gpus, attempt->memory_gb, context_->now};
-  target->ReserveCapacity(move.cpus, move.gpus, move.memory_gb);
+  const Move move{from->name, target->name, attempt->resources, context_->now};
+  target->ReserveCapacity(move.resources);
   moves_[task_id] = move;
   moved_at_[task_id] = context_->now;
   if (Job* job = jobs_->Find(task_id.job))
@@ -216,7 +215,7 @@
 
 void Rebalancer::ReleaseCapacity(const Move& move) {
   if (Machine* target = machines_->Find(move.to))
-    target->ReleaseCapacity(move.cpus, move.gpus, move.memory_gb);
+    target->ReleaseCapacity(move.resources);
 }
 
 void Rebalancer::AbandonMove(Moves::iterator move, MoveFailure failure) {
--- a/src/core/balance/rebalancer.h
+++ b/src/core/balance/rebalancer.h
@@ -79,7 +79,7 @@
  private:
   struct Move {
     std::string from, to;
-    double cpus = 0, gpus = 0, memory_gb = 0;  // reserved on `to`
+    TaskResources resources;  // reserved on `to`
     double started_at = 0;
   };
   using Moves = std::map<TaskId, Move>;
--- /dev/null
+++ b/src/core/jobs/task_resources.h
@@ -0,0 +1,26 @@
+// The resources of a machine that tasks use, reserve or leave free.
+#pragma once
+
+#include "core/model/job.h"
+
+namespace sorrelwood {
+
+struct TaskResources {
+  double cpus = 0;  // cores
+  double gpus = 0;  // devices
+  double memory_gb = 0;
+
+  TaskResources& operator+=(const TaskResources& other);
+  TaskResources& operator-=(const TaskResources& other);
+  // Whether tasks that use these resources fit into `free`; sums drift by
+  // rounding, so a small excess is allowed.
+  bool FitInto(const TaskResources& free) const;
+};
+
+TaskResources operator+(TaskResources left, const TaskResources& right);
+TaskResources operator-(TaskResources left, const TaskResources& right);
+
+// The resources that one task of the job uses.
+TaskResources ResourcesPerTask(const JobSpec& spec);
+
+}  // namespace sorrelwood
--- a/src/core/machines/machine.cc
+++ b/src/core/machines/machine.cc
@@ -5,8 +5,8 @@
 namespace sorrelwood {
 namespace {
 
-// Sums of resources (cores, devices, GB) that differ by no more than this count
-// as equal: they drift by rounding.
+// Sums of cores that differ by no more than this count as equal: they drift by
+// rounding.
 constexpr double kSumRounding = 1e-6;
 
 }  // namespace
@@ -29,34 +29,31 @@
   if (entry->second <= kSumRounding) team_cpus.erase(entry);
 }
 
+TaskResources Machine::Free() const {
+  if (!type) return {};
+  const TaskResources all{type->cpus, type->gpus, type->memory_gb};
+  return all - used - reserved;
+}
+
 bool Machine::Fits(const JobSpec& spec) const {
-  return type && spec.cpus <= cpus_free() + kSumRounding &&
-         spec.gpus <= gpus_free() + kSumRounding &&
-         spec.memory_gb <= memory_free() + kSumRounding;
+  return type && ResourcesPerTask(spec).FitInto(Free());
 }
 
-void Machine::ReserveCapacity(double cpus, double gpus, double memory_gb) {
+void Machine::ReserveCapacity(const TaskResources& task) {
   ++reservation_count;
-  reserved_cpus += cpus;
-  reserved_gpus += gpus;
-  reserved_memory += memory_gb;
+  reserved += task;
 }
 
-void Machine::ReleaseCapacity(double cpus, double gpus, double memory_gb) {
+void Machine::ReleaseCapacity(const TaskResources& task) {
   --reservation_count;
-  reserved_cpus -= cpus;
-  reserved_gpus -= gpus;
-  reserved_memory -= memory_gb;
+  reserved -= task;
   // Prevents rounding errors from accumulating.
-  if (reservation_count == 0)
-    reserved_cpus = reserved_gpus = reserved_memory = 0;
+  if (reservation_count == 0) reserved = {};
 }
 
 void Machine::AddAttempt(const TaskId& task, TaskAttempt attempt) {
-  AddTeamCpus(attempt.record->spec.team, attempt.cpus);
-  cpus_used += attempt.cpus;
-  gpus_used += attempt.gpus;
-  memory_used += attempt.memory_gb;
+  AddTeamCpus(attempt.record->spec.team, attempt.resources.cpus);
+  used += attempt.resources;
   lifecycle.idle_since = 0;
   attempts[task] = std::move(attempt);
 }
@@ -65,7 +62,7 @@
     std::map<TaskId, TaskAttempt>::iterator entry) {
   TaskAttempt attempt = std::move(entry->second);
   attempts.erase(entry);
-  AddTeamCpus(attempt.record->spec.team, -attempt.cpus);
+  AddTeamCpus(attempt.record->spec.team, -attempt.resources.cpus);
   const std::string& image = attempt.record->spec.image;
   const auto waits_for_image = [&image](const auto& item) {
     return item.second.running_since == 0 &&
@@ -74,11 +71,9 @@
   if (attempt.running_since == 0 && !fetching.empty() &&
       std::none_of(attempts.begin(), attempts.end(), waits_for_image))
     FinishFetch(image);
-  cpus_used -= attempt.cpus;
-  gpus_used -= attempt.gpus;
-  memory_used -= attempt.memory_gb;
+  used -= attempt.resources;
   // Prevents rounding errors from accumulating.
-  if (attempts.empty()) cpus_used = gpus_used = memory_used = 0;
+  if (attempts.empty()) used = {};
   return attempt;
 }
 
--- a/src/core/machines/machine.h
+++ b/src/core/machines/machine.h
@@ -123,10 +123,9 @@
   // the attempts there; most recently used last.
   std::vector<std::string> images;
   std::vector<std::string> fetching;  // those of `images` being fetched
-  // Used by `attempts`.
-  double cpus_used = 0, gpus_used = 0, memory_used = 0;
+  TaskResources used;                 // by `attempts`
   // Reserved for tasks that the rebalancer is moving there.
-  double reserved_cpus = 0, reserved_gpus = 0, reserved_memory = 0;
+  TaskResources reserved;
   int reservation_count = 0;
   // CPUs in use, by team; teams that use none are omitted.
   std::vector<std::pair<std::string, double>> team_cpus;
@@ -135,15 +134,9 @@
   std::vector<double> reserve_slots;
 
   double cpus() const { return type ? type->cpus : 0; }
-  double cpus_free() const {
-    return type ? type->cpus - cpus_used - reserved_cpus : 0;
-  }
-  double gpus_free() const {
-    return type ? type->gpus - gpus_used - reserved_gpus : 0;
-  }
-  double memory_free() const {
-    return type ? type->memory_gb - memory_used - reserved_memory : 0;
-  }
+  double cpus_free() const { return Free().cpus; }
+  // Neither used nor reserved; nothing while the type is unknown.
+  TaskResources Free() const;
   // Whether the machine has room for one more task of the job.
   bool Fits(const JobSpec& spec) const;
   // Whether the machine can run tasks: it has acknowledged this leader's
@@ -157,9 +150,9 @@
   // CPUs in use by tasks of the team.
   double TeamCpus(const std::string& team) const;
   // Reserves capacity for one task.
-  void ReserveCapacity(double cpus, double gpus, double memory_gb);
+  void ReserveCapacity(const TaskResources& task);
   // Releases the capacity reserved for one task.
-  void ReleaseCapacity(double cpus, double gpus, double memory_gb);
+  void ReleaseCapacity(const TaskResources& task);
   bool HasReservations() const { return reservation_count > 0; }
   // Adds an attempt and accounts for its resources on this machine. The caller
   // updates the job table (see AttemptTracker).
--- a/src/core/machines/task_attempt.h
+++ b/src/core/machines/task_attempt.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 
+#include "core/jobs/task_resources.h"
 #include "core/model/heartbeat.h"
 #include "core/model/stored_records.h"
 
@@ -22,8 +23,8 @@
   // Unique for the task. The upper half is the leader's term, see
   // docs/design.md.
   uint64_t number = 0;
-  double cpus = 0, gpus = 0, memory_gb = 0;  // used on the machine
-  std::shared_ptr<const LiveJob> record;     // its job's record, never null
+  TaskResources resources;                // used on the machine
+  std::shared_ptr<const LiveJob> record;  // its job's record, never null
   AttemptPhase phase = AttemptPhase::kPlanned;
   // The heartbeat whose response carried the start command, and when it was
   // sent (steady clock, s).
--- a/src/core/scheduling/guarantee_preemption.cc
+++ b/src/core/scheduling/guarantee_preemption.cc
@@ -8,27 +8,12 @@
 
 namespace sorrelwood {
 
-bool GuaranteePreemption::Room::Fits(const JobSpec& spec) const {
-  return spec.cpus <= cpus && spec.memory_gb <= memory_gb;
-}
-
-bool GuaranteePreemption::Room::FitsAfterPreemption(const JobSpec& spec) const {
-  double cpus_after = cpus, memory_gb_after = memory_gb;
-  for (const TaskAttempt* attempt : preemptible) {
-    cpus_after += attempt->cpus;
-    memory_gb_after += attempt->memory_gb;
-  }
-  return spec.cpus <= cpus_after && spec.memory_gb <= memory_gb_after;
-}
-
-void GuaranteePreemption::Room::Allocate(const JobSpec& spec) {
-  cpus -= spec.cpus;
-  memory_gb -= spec.memory_gb;
-}
-
-void GuaranteePreemption::Room::Release(const TaskAttempt& attempt) {
-  cpus += attempt.cpus;
-  memory_gb += attempt.memory_gb;
+bool GuaranteePreemption::Room::FitsAfterPreemption(
+    const TaskResources& task) const {
+  TaskResources free_after = free;
+  for (const TaskAttempt* attempt : preemptible)
+    free_after += attempt->resources;
+  return task.FitInto(free_after);
 }
 
 bool GuaranteePreemption::Demand::IsOpen() const {
@@ -69,18 +54,18 @@
     if (!eligibility_->AcceptsTasks(*machine) || !machine->type) continue;
     Room room = MeasureRoom(machine.get());
     // Skips machines that are full of tasks that may not be stopped.
-    if (room.cpus > 0 || !room.preemptible.empty())
+    if (room.free.cpus > 0 || !room.preemptible.empty())
       rooms_.push_back(std::move(room));
   }
 }
 
 GuaranteePreemption::Room GuaranteePreemption::MeasureRoom(Machine* machine) {
-  Room room{machine, machine->cpus_free(), machine->memory_free(), {}};
+  Room room{machine, machine->Free(), {}};
   for (auto& [task_id, attempt] : machine->attempts) {
     if (attempt.stop)
-      room.Release(attempt);
+      room.free += attempt.resources;
     else if (cpus_beyond_guarantee_[attempt.record->spec.team] >=
-                 attempt.cpus &&
+                 attempt.resources.cpus &&
              IsPreemptible(attempt, context_->now))
       room.preemptible.push_back(&attempt);
   }
@@ -92,34 +77,37 @@
     if (!demand->IsOpen()) return;
     if (!deficit_->FitsWhenEmpty(*demand->job, *room.machine)) continue;
     // Avoids stopping tasks if the room would still be too small.
-    if (may_preempt && !room.FitsAfterPreemption(demand->job->spec())) continue;
+    if (may_preempt &&
+        !room.FitsAfterPreemption(ResourcesPerTask(demand->job->spec())))
+      continue;
     CoverDemandOn(&room, demand, may_preempt);
   }
 }
 
 void GuaranteePreemption::CoverDemandOn(Room* room, Demand* demand,
                                         bool may_preempt) {
-  const JobSpec& spec = demand->job->spec();
+  const TaskResources task = ResourcesPerTask(demand->job->spec());
   while (demand->IsOpen()) {
-    if (may_preempt) PreemptUntilFits(spec, room);
-    if (!room->Fits(spec)) return;
-    room->Allocate(spec);
-    *demand->unused_guarantee_cpus -= spec.cpus;
+    if (may_preempt) PreemptUntilFits(task, room);
+    if (!task.FitInto(room->free)) return;
+    room->free -= task;
+    *demand->unused_guarantee_cpus -= task.cpus;
     demand->tasks -= 1;
   }
 }
 
-void GuaranteePreemption::PreemptUntilFits(const JobSpec& spec, Room* room) {
-  while (!room->Fits(spec) && !room->preemptible.empty()) {
+void GuaranteePreemption::PreemptUntilFits(const TaskResources& task,
+                                           Room* room) {
+  while (!task.FitInto(room->free) && !room->preemptible.empty()) {
     TaskAttempt* attempt = room->preemptible.back();
     room->preemptible.pop_back();
     double& beyond = cpus_beyond_guarantee_[attempt->record->spec.team];
     // Other tasks of this team may have been stopped since the room was
     // measured; its usage is not reduced below its own guarantee.
-    if (beyond < attempt->cpus) continue;
-    beyond -= attempt->cpus;
+    if (beyond < attempt->resources.cpus) continue;
+    beyond -= attempt->resources.cpus;
     StopWithCheckpoint(attempt);
-    room->Release(*attempt);
+    room->free += attempt->resources;
   }
 }
 
--- a/src/core/scheduling/guarantee_preemption.h
+++ b/src/core/scheduling/guarantee_preemption.h
@@ -35,17 +35,14 @@
 
  private:
   // The capacity that is free on a machine, including that of tasks that are
-  // being stopped. GPUs are not counted.
+  // being stopped.
   struct Room {
     Machine* machine = nullptr;
-    double cpus = 0, memory_gb = 0;
+    TaskResources free;
     std::vector<TaskAttempt*> preemptible;
 
-    bool Fits(const JobSpec& spec) const;
-    // True if a task fits once all preemptible tasks are stopped.
-    bool FitsAfterPreemption(const JobSpec& spec) const;
-    void Allocate(const JobSpec& spec);
-    void Release(const TaskAttempt& attempt);
+    // True if the task fits once all preemptible tasks are stopped.
+    bool FitsAfterPreemption(const TaskResources& task) const;
   };
   // The tasks of one job that still need capacity.
   struct Demand {
@@ -64,9 +61,9 @@
   // `may_preempt`, otherwise uses only capacity that is free or coming free.
   void CoverDemand(Demand* demand, bool may_preempt);
   void CoverDemandOn(Room* room, Demand* demand, bool may_preempt);
-  // Stops preemptible tasks in the room until a task of `spec` fits or no
-  // preemptible task is left.
-  void PreemptUntilFits(const JobSpec& spec, Room* room);
+  // Stops preemptible tasks in the room until the task fits or no preemptible
+  // task is left.
+  void PreemptUntilFits(const TaskResources& task, Room* room);
 
   Context* context_;
   JobTable* jobs_;
--- a/src/core/scheduling/placement.cc
+++ b/src/core/scheduling/placement.cc
@@ -142,9 +142,7 @@
   SpeculationState& speculation = job->speculation;
   TaskAttempt attempt;
   attempt.number = (term << kTermShift) | ++attempt_counter_;
-  attempt.cpus = spec.cpus;
-  attempt.gpus = spec.gpus;
-  attempt.memory_gb = spec.memory_gb;
+  attempt.resources = ResourcesPerTask(spec);
   attempt.record = job->record;
   attempt.speculative =
       !machine->role.baseline && !speculation.run_on_rented.Contains(task);
--- a/src/core/scheduling/preemption.cc
+++ b/src/core/scheduling/preemption.cc
@@ -8,33 +8,14 @@
 
 namespace sorrelwood {
 
-bool Preemption::Room::Fits(const JobSpec& spec) const {
-  return spec.cpus <= cpus + kResourceRounding &&
-         spec.gpus <= gpus + kResourceRounding &&
-         spec.memory_gb <= memory_gb + kResourceRounding;
-}
-
-void Preemption::Room::Allocate(const JobSpec& spec) {
-  cpus -= spec.cpus;
-  gpus -= spec.gpus;
-  memory_gb -= spec.memory_gb;
-}
-
-void Preemption::Room::Release(const TaskAttempt& attempt) {
-  cpus += attempt.cpus;
-  gpus += attempt.gpus;
-  memory_gb += attempt.memory_gb;
-}
-
 std::vector<Preemption::Room> Preemption::CollectRooms() const {
   std::vector<Room> rooms;
   for (auto& [name, machine] : machines_->all()) {
     if (!machine->type || !placement_->eligibility().AcceptsTasks(*machine))
       continue;
-    Room room{machine.get(), machine->cpus_free(), machine->gpus_free(),
-              machine->memory_free()};
+    Room room{machine.get(), machine->Free()};
     for (const auto& [task_id, attempt] : machine->attempts)
-      if (attempt.stop) room.Release(attempt);
+      if (attempt.stop) room.free += attempt.resources;
     rooms.push_back(room);
   }
   // A sample bounds the cost: each pending replica examines all rooms and the
@@ -72,7 +53,7 @@
     for (auto& [task_id, attempt] : machine->attempts) {
       if (attempt.record->spec.team != spec.team) continue;
       if (attempt.stop)
-        cpus_left += attempt.cpus;
+        cpus_left += attempt.resources.cpus;
       else if (MayStopFor(job, attempt))
         candidates.emplace_back(LostCoreSeconds(attempt), &attempt);
     }
@@ -82,7 +63,7 @@
   for (const auto& [lost_core_s, attempt] : candidates) {
     if (pending * spec.cpus <= cpus_left + kResourceRounding) break;
     StopWithCheckpoint(attempt);
-    cpus_left += attempt->cpus;
+    cpus_left += attempt->resources.cpus;
   }
   const double tasks_that_fit =
       std::floor(cpus_left / spec.cpus + kResourceRounding);
@@ -97,15 +78,16 @@
       candidates.emplace_back(LostCoreSeconds(attempt), &attempt);
   std::sort(candidates.begin(), candidates.end(),
             [](const auto& a, const auto& b) { return a.first < b.first; });
+  const TaskResources needed = ResourcesPerTask(job.spec());
   Victims victims;
-  Room after = room;
+  TaskResources free = room.free;
   for (const auto& [lost_core_s, attempt] : candidates) {
-    if (after.Fits(job.spec())) break;
-    after.Release(*attempt);
+    if (needed.FitInto(free)) break;
+    free += attempt->resources;
     victims.attempts.push_back(attempt);
     victims.lost_core_s += lost_core_s;
   }
-  if (!after.Fits(job.spec())) victims.attempts.clear();
+  if (!needed.FitInto(free)) victims.attempts.clear();
   return victims;
 }
 
@@ -119,6 +101,7 @@
   // Collected after tasks were stopped for the quota, so that their capacity
   // counts as coming free.
   if (rooms->empty()) *rooms = CollectRooms();
+  const TaskResources needed = ResourcesPerTask(spec);
   std::map<std::string, uint32_t> planned_in_zone;
   const auto is_allowed = [&](const Room& room) {
     return placement_->eligibility().IsEligible(job, *room.machine) &&
@@ -130,7 +113,7 @@
     Victims best_victims;
     for (Room& room : *rooms) {
       if (!is_allowed(room)) continue;
-      if (room.Fits(spec)) {
+      if (needed.FitInto(room.free)) {
         best_room = &room;
         best_victims = Victims();
         break;
@@ -145,9 +128,9 @@
     if (!best_room) return;
     for (TaskAttempt* attempt : best_victims.attempts) {
       StopWithCheckpoint(attempt);
-      best_room->Release(*attempt);
+      best_room->free += attempt->resources;
     }
-    best_room->Allocate(spec);
+    best_room->free -= needed;
     ++planned_in_zone[best_room->machine->zone];
   }
 }
--- a/src/core/scheduling/preemption.h
+++ b/src/core/scheduling/preemption.h
@@ -34,10 +34,7 @@
   // stopped have ended.
   struct Room {
     Machine* machine = nullptr;
-    double cpus = 0, gpus = 0, memory_gb = 0;
-    bool Fits(const JobSpec& spec) const;
-    void Allocate(const JobSpec& spec);
-    void Release(const TaskAttempt& attempt);
+    TaskResources free;
   };
   // Tasks to stop on one machine.
   struct Victims {
--- a/src/core/scheduling/slots.cc
+++ b/src/core/scheduling/slots.cc
@@ -10,55 +10,50 @@
 namespace {
 
 // Returns the slots in the given capacity; may be a fraction or negative.
-double SlotsIn(double cpus, double memory_gb, const JobSpec& spec) {
-  const double slots = cpus / std::max(spec.cpus, kMinTaskCpus);
-  return spec.memory_gb > 0 ? std::min(slots, memory_gb / spec.memory_gb)
+double SlotsIn(const TaskResources& free, const JobSpec& spec) {
+  const double slots = free.cpus / std::max(spec.cpus, kMinTaskCpus);
+  return spec.memory_gb > 0 ? std::min(slots, free.memory_gb / spec.memory_gb)
                             : slots;
 }
 
-// Returns the slots on the machine if its tasks used `extra_cpus` and
-// `extra_memory_gb` more than now; negative values release capacity.
-double SlotsWithExtraUsage(const Machine& machine, const ClassProfile& profile,
-                           double extra_cpus, double extra_memory_gb) {
+// Returns the slots on the machine if `free` were its free capacity.
+double SlotsWith(const TaskResources& free, const Machine& machine,
+                 const ClassProfile& profile) {
   if (!machine.type || machine.role.excess ||
       !AllowsLocation(profile.spec, *machine.type, machine.zone, machine.spot))
     return 0;
-  const double slots =
-      SlotsIn(machine.cpus_free() - extra_cpus,
-              machine.memory_free() - extra_memory_gb, profile.spec);
+  const double slots = SlotsIn(free, profile.spec);
   return std::max(0.0, std::floor(slots + kResourceRounding));
 }
 
 }  // namespace
 
 double FreeSlots(const Machine& machine, const ClassProfile& profile) {
-  return SlotsWithExtraUsage(machine, profile, 0, 0);
+  return SlotsWith(machine.Free(), machine, profile);
 }
 
 double FreeSlotsAfterPlacing(const Machine& machine,
                              const ClassProfile& profile, const JobSpec& task) {
-  return SlotsWithExtraUsage(machine, profile, task.cpus, task.memory_gb);
+  return SlotsWith(machine.Free() - ResourcesPerTask(task), machine, profile);
 }
 
 double SlotsWhenEmpty(const Machine& machine, const ClassProfile& profile) {
-  return SlotsWithExtraUsage(machine, profile, -machine.cpus_used,
-                             -machine.memory_used);
+  return SlotsWith(machine.Free() + machine.used, machine, profile);
 }
 
 double PreemptibleSlots(const Machine& machine, const ClassProfile& profile) {
-  double cpus = 0, memory_gb = 0;
+  TaskResources free = machine.Free();
   for (const auto& [task_id, attempt] : machine.attempts) {
     const JobSpec& spec = attempt.record->spec;
     if (spec.IsService() || spec.priority >= profile.spec.priority) continue;
-    cpus += attempt.cpus;
-    memory_gb += attempt.memory_gb;
+    free += attempt.resources;
   }
-  return SlotsWithExtraUsage(machine, profile, -cpus, -memory_gb);
+  return SlotsWith(free, machine, profile);
 }
 
 double SlotsOnType(const MachineType& type, const ClassProfile& profile) {
-  return std::floor(SlotsIn(type.cpus, type.memory_gb, profile.spec) +
-                    kResourceRounding);
+  const TaskResources all{type.cpus, type.gpus, type.memory_gb};
+  return std::floor(SlotsIn(all, profile.spec) + kResourceRounding);
 }
 
 double SlotsPerZone(const ClassProfile& profile, double slots) {
--- a/src/core/scheduling/waiting_policy.cc
+++ b/src/core/scheduling/waiting_policy.cc
@@ -14,8 +14,8 @@
     if (!machine->role.baseline || !machine->type) continue;
     owned_cpus += machine->type->cpus;
     owned_gb += machine->type->memory_gb;
-    used_cpus += machine->cpus_used;
-    used_gb += machine->memory_used;
+    used_cpus += machine->used.cpus;
+    used_gb += machine->used.memory_gb;
     for (const auto& [task_id, attempt] : machine->attempts) {
       features.running += 1;
       if (attempt.running_since > 0)
--- a/src/core/workers/attempt_tracker.cc
+++ b/src/core/workers/attempt_tracker.cc
@@ -42,9 +42,7 @@
                                                const TaskStatus& task) const {
   TaskAttempt attempt;
   attempt.number = task.attempt;
-  attempt.cpus = job.spec().cpus;
-  attempt.gpus = job.spec().gpus;
-  attempt.memory_gb = job.spec().memory_gb;
+  attempt.resources = ResourcesPerTask(job.spec());
   attempt.record = job.record;
   attempt.phase = AttemptPhase::kConfirmed;
   attempt.state = task.state;
@@ -61,8 +59,8 @@
   Job* job = jobs_->Find(id.job);
   // The attempts of an ended job count as orphaned usage of its team.
   if (!job || !attempt.job_active) {
-    jobs_->AddOrphanedUsage(attempt.record->spec.team, -attempt.cpus,
-                            -attempt.gpus);
+    jobs_->AddOrphanedUsage(attempt.record->spec.team, -attempt.resources.cpus,
+                            -attempt.resources.gpus);
     return;
   }
   jobs_->MarkUnplaced(job, id.task, machine->zone);
--- a/tests/balance_test.cc
+++ b/tests/balance_test.cc
@@ -42,7 +42,7 @@
     Job* job = jobs_.Add(record, 1, false, 0);
     for (uint32_t task = 0; task < count; ++task) {
       TaskAttempt attempt;
-      attempt.cpus = 1;
+      attempt.resources.cpus = 1;
       attempt.record = record;
       jobs_.MarkPlaced(job, task, machine->name, machine->zone);
       machine->AddAttempt({record->spec.id, task}, attempt);
@@ -145,10 +145,10 @@
   JobSpec spec;
   spec.cpus = 10;
   EXPECT_TRUE(machine->Fits(spec));
-  machine->ReserveCapacity(8, 0, 1);
+  machine->ReserveCapacity({8, 0, 1});
   EXPECT_FALSE(machine->Fits(spec));
   EXPECT_DOUBLE_EQ(machine->cpus_free(), 8);
-  machine->ReleaseCapacity(8, 0, 1);
+  machine->ReleaseCapacity({8, 0, 1});
   EXPECT_TRUE(machine->Fits(spec));
 }
 
