--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -208,12 +208,25 @@
 inline constexpr uint32_t kMaxTasksPerJob = 100000;
 inline constexpr size_t kMaxRequestBodyBytes = size_t{64} * 1024;
 
+// Longest line of a response to a worker or a user (protocol).
+inline constexpr size_t kMaxResponseLineBytes = size_t{64} * 1024;
+
 // Longest id, and longest of most other strings that are parsed, such as names
 // of classes, teams and images.
 inline constexpr size_t kMaxIdBytes = 100;
 
+// Digits of a task number in a task's name.
+inline constexpr size_t kMaxTaskDigits = 6;
+
 // --- Workers ---
 
+// Upper bound of the size of a worker's report without its tasks: four names of
+// kMaxIdBytes, which may be escaped, and five numbers.
+inline constexpr size_t kReportOverheadBytes = size_t{3} * 1024;
+
+// Upper bound of the size of a list of commands without the commands.
+inline constexpr size_t kCommandListOverheadBytes = 128;
+
 // Pause before a new leader retries a failed read of its records.
 inline constexpr double kRecoveryRetryS = 0.3;
 
--- a/src/core/autoscaling/demand_estimator.cc
+++ b/src/core/autoscaling/demand_estimator.cc
@@ -34,10 +34,13 @@
 
 double DemandEstimator::CpuEquivalent(const JobSpec& spec,
                                       const MachineType& type) {
-  double share = spec.cpus / type.cpus;
-  if (type.memory_gb > 0)
-    share = std::max(share, spec.memory_gb / type.memory_gb);
-  if (type.gpus > 0) share = std::max(share, spec.gpus / type.gpus);
+  const TaskResources task = ResourcesPerTask(spec);
+  const TaskResources all = ResourcesOf(type);
+  double share =
+      std::max(task.cpus / all.cpus, task.report_bytes / all.report_bytes);
+  if (all.memory_gb > 0)
+    share = std::max(share, task.memory_gb / all.memory_gb);
+  if (all.gpus > 0) share = std::max(share, task.gpus / all.gpus);
   return share * type.cpus;
 }
 
--- a/src/core/jobs/task_resources.h
+++ b/src/core/jobs/task_resources.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/model/job.h"
+#include "core/model/machine_type.h"
 
 namespace sorrelwood {
 
@@ -9,6 +10,9 @@
   double cpus = 0;  // cores
   double gpus = 0;  // devices
   double memory_gb = 0;
+  // Of the worker's report: a task takes its entry there until the worker has
+  // forgotten it.
+  double report_bytes = 0;
 
   TaskResources& operator+=(const TaskResources& other);
   TaskResources& operator-=(const TaskResources& other);
@@ -22,5 +26,7 @@
 
 // The resources that one task of the job uses.
 TaskResources ResourcesPerTask(const JobSpec& spec);
+// The resources of an empty machine of the type.
+TaskResources ResourcesOf(const MachineType& type);
 
 }  // namespace sorrelwood
--- a/src/core/machines/machine.cc
+++ b/src/core/machines/machine.cc
@@ -31,8 +31,9 @@
 
 TaskResources Machine::Free() const {
   if (!type) return {};
-  const TaskResources all{type->cpus, type->gpus, type->memory_gb};
-  return all - used - reserved;
+  TaskResources free = ResourcesOf(*type) - used - reserved;
+  free.report_bytes -= untracked_report_bytes;
+  return free;
 }
 
 bool Machine::Fits(const JobSpec& spec) const {
--- a/src/core/machines/machine.h
+++ b/src/core/machines/machine.h
@@ -124,6 +124,10 @@
   std::vector<std::string> images;
   std::vector<std::string> fetching;  // those of `images` being fetched
   TaskResources used;                 // by `attempts`
+  // Bytes of the latest complete report that tasks outside of `attempts` take:
+  // exited ones that the worker has not been told to forget or has not
+  // forgotten yet, and tasks of unknown jobs.
+  double untracked_report_bytes = 0;
   // Reserved for tasks that the rebalancer is moving there.
   TaskResources reserved;
   int reservation_count = 0;
--- a/src/core/scheduling/slots.cc
+++ b/src/core/scheduling/slots.cc
@@ -11,8 +11,10 @@
 
 // Returns the slots in the given capacity; may be a fraction or negative.
 double SlotsIn(const TaskResources& free, const JobSpec& spec) {
-  const double slots = free.cpus / std::max(spec.cpus, kMinTaskCpus);
-  return spec.memory_gb > 0 ? std::min(slots, free.memory_gb / spec.memory_gb)
+  const TaskResources task = ResourcesPerTask(spec);
+  const double slots = std::min(free.cpus / std::max(task.cpus, kMinTaskCpus),
+                                free.report_bytes / task.report_bytes);
+  return task.memory_gb > 0 ? std::min(slots, free.memory_gb / task.memory_gb)
                             : slots;
 }
 
@@ -52,8 +54,8 @@
 }
 
 double SlotsOnType(const MachineType& type, const ClassProfile& profile) {
-  const TaskResources all{type.cpus, type.gpus, type.memory_gb};
-  return std::floor(SlotsIn(all, profile.spec) + kResourceRounding);
+  return std::floor(SlotsIn(ResourcesOf(type), profile.spec) +
+                    kResourceRounding);
 }
 
 double SlotsPerZone(const ClassProfile& profile, double slots) {
--- a/src/core/scheduling/slots.h
+++ b/src/core/scheduling/slots.h
@@ -1,5 +1,6 @@
 // Slots: the number of tasks of a class's typical job that fit on a machine, by
-// cores and memory. All counts are whole numbers.
+// cores, memory and the size of the worker's report. All counts are whole
+// numbers.
 #pragma once
 
 #include "core/jobs/class_profile.h"
--- a/src/core/workers/command_selector.cc
+++ b/src/core/workers/command_selector.cc
@@ -4,23 +4,39 @@
 
 std::vector<Command> CommandSelector::Select(Machine* machine,
                                              const Heartbeat& heartbeat) {
-  std::vector<Command> commands;
-  for (const TaskStatus& task : heartbeat.tasks)
-    if (const std::optional<Command> command =
-            SelectForReported(*machine, task))
-      commands.push_back(*command);
+  CommandBatch batch;
+  AddStopCommands(*machine, heartbeat, &batch);
+  AddForgetCommands(heartbeat, &batch);
   // A leader that may have been replaced must not start tasks.
   if (election_->MayDispatch() &&
       placement_->eligibility().AcceptsTasks(*machine))
-    AddStartCommands(machine, heartbeat, &commands);
+    AddStartCommands(machine, heartbeat, &batch);
   else
     attempts_->RemovePlanned(machine);
-  return commands;
+  return batch.Take();
 }
 
-std::optional<Command> CommandSelector::SelectForReported(
+void CommandSelector::AddStopCommands(const Machine& machine,
+                                      const Heartbeat& heartbeat,
+                                      CommandBatch* batch) {
+  for (const TaskStatus& task : heartbeat.tasks) {
+    if (task.state == TaskState::kExited) continue;
+    const std::optional<Command> stop = SelectForRunning(machine, task);
+    if (stop && !batch->Add(*stop)) return;
+  }
+}
+
+void CommandSelector::AddForgetCommands(const Heartbeat& heartbeat,
+                                        CommandBatch* batch) {
+  for (const TaskStatus& task : heartbeat.tasks) {
+    if (task.state != TaskState::kExited) continue;
+    const std::optional<Command> forget = SelectForExited(task);
+    if (forget && !batch->Add(*forget)) return;
+  }
+}
+
+std::optional<Command> CommandSelector::SelectForRunning(
     const Machine& machine, const TaskStatus& task) {
-  if (task.state == TaskState::kExited) return SelectForExited(task);
   const auto attempt_entry = machine.attempts.find({task.job, task.task});
   const bool is_tracked = attempt_entry != machine.attempts.end() &&
                           attempt_entry->second.number == task.attempt;
@@ -50,9 +66,11 @@
 
 void CommandSelector::AddStartCommands(Machine* machine,
                                        const Heartbeat& heartbeat,
-                                       std::vector<Command>* commands) {
+                                       CommandBatch* batch) {
   for (auto& [id, attempt] : machine->attempts) {
     if (attempt.phase != AttemptPhase::kPlanned) continue;
+    if (!batch->Add({CommandKind::kStart, id.job, id.task, attempt.number, 0}))
+      return;  // the others stay planned until the next response
     attempt.phase = AttemptPhase::kDispatched;
     attempt.dispatched_in_response_to = heartbeat.id();
     attempt.dispatched_at = context_->now;
@@ -60,19 +78,19 @@
       context_->Debug(
           "starting task",
           {{"job", id.job}, {"task", id.task}, {"machine", machine->name}});
-    commands->push_back(
-        {CommandKind::kStart, id.job, id.task, attempt.number, 0});
   }
 }
 
 std::vector<Command> CommandSelector::SelectStopsForEndedJobs(
     const Heartbeat& heartbeat) const {
-  std::vector<Command> stop_commands;
-  for (const TaskStatus& task : heartbeat.tasks)
-    if (task.state != TaskState::kExited && !job_cache_->FindLiveJob(task.job))
-      stop_commands.push_back(
-          {CommandKind::kStop, task.job, task.task, task.attempt, 0});
-  return stop_commands;
+  CommandBatch batch;
+  for (const TaskStatus& task : heartbeat.tasks) {
+    if (task.state == TaskState::kExited || job_cache_->FindLiveJob(task.job))
+      continue;
+    if (!batch.Add({CommandKind::kStop, task.job, task.task, task.attempt, 0}))
+      break;
+  }
+  return batch.Take();
 }
 
 }  // namespace sorrelwood
--- a/src/core/workers/command_selector.h
+++ b/src/core/workers/command_selector.h
@@ -11,6 +11,7 @@
 #include "core/machines/machine_table.h"
 #include "core/scheduling/placement.h"
 #include "core/workers/attempt_tracker.h"
+#include "core/workers/command_batch.h"
 
 namespace sorrelwood {
 
@@ -26,28 +27,36 @@
         placement_(placement),
         attempts_(attempts) {}
 
-  // Commands for a worker that has acknowledged this term's token: first forget
-  // and stop commands, then start commands for the planned attempts, which are
-  // marked as dispatched. If no task may be started, the planned attempts are
-  // withdrawn.
+  // Commands for a worker that has acknowledged this term's token: stop
+  // commands, then forget commands, then start commands for the planned
+  // attempts, which are marked as dispatched. What does not fit into the
+  // response (see CommandBatch) is left for the next one: attempts without a
+  // start command stay planned. If no task may be started, the planned attempts
+  // are withdrawn.
   std::vector<Command> Select(Machine* machine, const Heartbeat& heartbeat);
 
-  // Stop commands for the attempts of jobs that have ended, whatever token the
-  // heartbeat carries. Each response renews the worker's lease, so without
-  // these commands it would keep the tasks of a cancelled job alive. Select()
-  // does not run while the leader has not read its records yet, possibly for a
-  // whole outage, or if leaders change so fast that no heartbeat carries the
-  // token of the leader that receives it.
+  // Stop commands, as many as fit into a response, for the attempts of jobs
+  // that have ended, whatever token the heartbeat carries. Each response renews
+  // the worker's lease, so without these commands it would keep the tasks of a
+  // cancelled job alive. Select() does not run while the leader has not read
+  // its records yet, possibly for a whole outage, or if leaders change so fast
+  // that no heartbeat carries the token of the leader that receives it.
   std::vector<Command> SelectStopsForEndedJobs(
       const Heartbeat& heartbeat) const;
 
  private:
-  // The command for an attempt that the worker reports, if it needs one.
-  std::optional<Command> SelectForReported(const Machine& machine,
-                                           const TaskStatus& task);
+  void AddStopCommands(const Machine& machine, const Heartbeat& heartbeat,
+                       CommandBatch* batch);
+  void AddForgetCommands(const Heartbeat& heartbeat, CommandBatch* batch);
+  // The stop command for a reported attempt that has not exited, if it needs
+  // one.
+  static std::optional<Command> SelectForRunning(const Machine& machine,
+                                                 const TaskStatus& task);
+  // The forget command for a reported attempt that has exited, unless the
+  // worker must keep it.
   std::optional<Command> SelectForExited(const TaskStatus& task);
   void AddStartCommands(Machine* machine, const Heartbeat& heartbeat,
-                        std::vector<Command>* commands);
+                        CommandBatch* batch);
 
   Context* context_;
   LeaderElection* election_;
--- a/src/core/workers/reconciler.cc
+++ b/src/core/workers/reconciler.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/constants.h"
+#include "protocol/worker_message_size.h"
 
 namespace sorrelwood {
 namespace {
@@ -23,6 +24,18 @@
          heartbeat.sequence > answered.sequence;
 }
 
+// Updates the size of the reported tasks that are not tracked.
+void CountUntrackedReportBytes(Machine* machine, const Heartbeat& heartbeat) {
+  size_t bytes = 0;
+  for (const TaskStatus& task : heartbeat.tasks) {
+    const auto attempt = machine->attempts.find({task.job, task.task});
+    const bool is_tracked = attempt != machine->attempts.end() &&
+                            attempt->second.number == task.attempt;
+    if (!is_tracked) bytes += protocol::MaxReportedTaskBytes(task.job);
+  }
+  machine->untracked_report_bytes = static_cast<double>(bytes);
+}
+
 // Drops completions that the worker no longer reports.
 void ForgetUnreportedCompletions(Machine* machine,
                                  const std::set<TaskId>& reported) {
@@ -73,6 +86,7 @@
   attempts_->RemoveAll(machine);
   machine->unrecorded_completions.clear();
   machine->images.clear();
+  machine->untracked_report_bytes = 0;
   machine->contact.last_applied = {incarnation, 0};
 }
 
@@ -98,6 +112,7 @@
     task_status_->Apply(machine, task);
   }
   RemoveAbsent(machine, heartbeat, channel, reported);
+  CountUntrackedReportBytes(machine, heartbeat);
   ForgetUnreportedCompletions(machine, reported);
   if (!machine->lifecycle.token_acknowledged) AcknowledgeToken(machine);
 }
--- a/src/protocol/identifiers.cc
+++ b/src/protocol/identifiers.cc
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr std::string_view kJobIdPrefix = "job-";
-constexpr size_t kMaxTaskDigits = 6;
 
 }  // namespace
 
--- a/tests/loopback/clients.cc
+++ b/tests/loopback/clients.cc
@@ -28,7 +28,7 @@
           {"parts", request.tasks},
           {"cores", request.cpus},
           {"cards", 0.0},
-          {"memory_gb", 1.0},
+          {"memory_gb", request.memory_gb},
           {"bundle", "img-1"},
           {"size_gb", 0.1},
           {"builds", nullptr},
@@ -55,6 +55,17 @@
   return false;
 }
 
+bool Clients::Cancel(const std::string& id) {
+  const json empty = json::object();
+  for (int attempt = 0; attempt < kSubmitAttempts; ++attempt) {
+    const int status =
+        SendRequest("/submissions/" + id + "/cancel", &empty).first;
+    if (status == 200) return true;
+    std::this_thread::sleep_for(kSubmitRetryPause);
+  }
+  return false;
+}
+
 std::string Clients::Status(const std::string& id) {
   const auto [status, body] = SendRequest("/submissions/" + id, nullptr);
   return status == 200 ? body.value("status", "") : "";
--- a/tests/loopback/clients.h
+++ b/tests/loopback/clients.h
@@ -17,6 +17,7 @@
   double run_s = 1;       // of each task
   double cpus = 1;        // of each task
   std::string zone = {};  // the only allowed zone; empty: any
+  double memory_gb = 1;   // of each task
 };
 
 // Sends each request to the next controller in turn.
@@ -28,6 +29,9 @@
   // Repeats the submission until it is accepted. Returns false after 60
   // attempts, half a second apart.
   bool Submit(const JobRequest& request);
+  // Repeats the cancellation until it is confirmed. Returns false after 60
+  // attempts, half a second apart.
+  bool Cancel(const std::string& id);
   // Returns the job's status from the next controller, empty without an answer.
   std::string Status(const std::string& id);
 
--- a/tests/loopback/execution_history.cc
+++ b/tests/loopback/execution_history.cc
@@ -17,6 +17,19 @@
   events_.push_back({Now(), machine, task, starts});
 }
 
+void ExecutionHistory::AddOversizedMessage(const std::string& machine,
+                                           const std::string& kind,
+                                           size_t bytes) {
+  std::lock_guard lock(mutex_);
+  oversized_messages_.push_back(kind + " of " + std::to_string(bytes) +
+                                " bytes, worker of " + machine);
+}
+
+std::vector<std::string> ExecutionHistory::oversized_messages() const {
+  std::lock_guard lock(mutex_);
+  return oversized_messages_;
+}
+
 std::vector<std::string> ExecutionHistory::FindConcurrentExecutions() const {
   std::lock_guard lock(mutex_);
   std::map<std::string, std::string> machine_of_task;
--- a/tests/loopback/execution_history.h
+++ b/tests/loopback/execution_history.h
@@ -22,6 +22,12 @@
  public:
   void Add(const std::string& machine, const std::string& task, bool starts);
 
+  // Records a message over a size limit of the protocol, sent by or to the
+  // worker of the machine.
+  void AddOversizedMessage(const std::string& machine, const std::string& kind,
+                           size_t bytes);
+  std::vector<std::string> oversized_messages() const;
+
   // Describes each task that was on two machines at once, with both machines.
   std::vector<std::string> FindConcurrentExecutions() const;
   size_t CountStarts() const;
@@ -32,6 +38,7 @@
  private:
   mutable std::mutex mutex_;
   std::vector<ExecutionEvent> events_;
+  std::vector<std::string> oversized_messages_;
 };
 
 }  // namespace sorrelwood::test
--- a/tests/loopback/fake_worker.cc
+++ b/tests/loopback/fake_worker.cc
@@ -17,6 +17,10 @@
 constexpr auto kSwitchDelay = std::chrono::milliseconds(300);
 constexpr double kMinRunS = 0.1;
 constexpr size_t kServerThreads = 2;
+// Limits of the protocol. A worker reads no longer line and sends no longer
+// report.
+constexpr size_t kMaxLineBytes = size_t{64} * 1024;
+constexpr size_t kMaxReportBytes = size_t{64} * 1024;
 // Longer than a controller waits for the answer to pushed commands.
 constexpr auto kLostPushDelay = std::chrono::milliseconds(2000);
 
@@ -106,6 +110,7 @@
     response.status = 503;
     return;
   }
+  if (!IsWithin(kMaxLineBytes, "a push", request.body)) return;
   std::lock_guard lock(mutex_);
   const bool accepted = token >= fencing_token_ &&
                         body.at("shift").get<uint64_t>() == incarnation_;
@@ -204,6 +209,13 @@
   std::this_thread::sleep_for(kSwitchDelay);
 }
 
+bool FakeWorker::IsWithin(size_t max_bytes, const std::string& kind,
+                          const std::string& message) const {
+  if (message.size() <= max_bytes) return true;
+  history_->AddOversizedMessage(name_, kind, message.size());
+  return false;
+}
+
 void FakeWorker::SendHeartbeat() {
   if (!HeartbeatPasses()) {
     SwitchController("");
@@ -218,6 +230,7 @@
     incarnation = incarnation_;
     next_heartbeat_s_ = Now() + settings_.heartbeat_interval_s;
   }
+  if (!IsWithin(kMaxReportBytes, "a report", body)) return;
   const double sent_s = Now();
   Endpoint endpoint;
   ParseEndpoint(settings_.controllers.at(controller_), &endpoint);
@@ -232,6 +245,10 @@
     SwitchController(response.is_object() ? response.value("steward", "") : "");
     return;
   }
+  if (!IsWithin(kMaxLineBytes, "a response", result->body)) {
+    SwitchController("");
+    return;
+  }
   const json response = json::parse(result->body);
   std::lock_guard lock(mutex_);
   const uint64_t token = response.value("baton", uint64_t{0});
--- a/tests/loopback/fake_worker.h
+++ b/tests/loopback/fake_worker.h
@@ -72,6 +72,9 @@
   void SendHeartbeat();
   // Whether the network lets a heartbeat pass to the current controller.
   bool HeartbeatPasses();
+  // Records a message over the limit, which is treated as lost.
+  bool IsWithin(size_t max_bytes, const std::string& kind,
+                const std::string& message) const;
   // Whether the network lets pushed commands with the token pass.
   bool PushPasses(uint64_t token) const;
   void HandlePush(const httplib::Request& request, httplib::Response& response);
--- /dev/null
+++ b/tests/loopback/small_tasks_test.cc
@@ -0,0 +1,95 @@
+// Arrays of thousands of tasks, each a small part of a core, with real
+// processes on loopback. The fake workers read no line and send no report of
+// more than 64 KiB, the bounds of the protocol.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "loopback/loopback_cluster.h"
+
+namespace sorrelwood::test {
+namespace {
+
+constexpr int kMachines = 4;
+// Longer than the worker lease, so that a worker that cannot report loses its
+// tasks.
+constexpr double kRunS = 8;
+constexpr double kSmallCpus = 0.002;
+constexpr double kSmallMemoryGb = 0.001;
+constexpr double kTimeoutS = 120;
+
+const ControllerOptions kControllers = {
+    .operator_settings = "fleet { hold_s: 20 drain_s: 5 base_share: 0 }"};
+
+class SmallTasksTest : public ::testing::Test {
+ protected:
+  void Submit(const std::string& id, int tasks, double cpus) {
+    ASSERT_TRUE(cluster_.clients().Submit(
+        {id, "hot", tasks, kRunS, cpus, "", kSmallMemoryGb}));
+  }
+
+  // Waits until `starts` tasks have started in all.
+  bool WaitForStarts(size_t starts) const {
+    for (const double deadline_s = Now() + kTimeoutS; Now() < deadline_s;
+         Sleep(0.1))
+      if (cluster_.history().CountStarts() >= starts) return true;
+    return false;
+  }
+
+  // Waits until no task of the job is on any machine.
+  bool WaitUntilGone(const std::string& job, double timeout_s) const {
+    for (const double deadline_s = Now() + timeout_s; Now() < deadline_s;
+         Sleep(0.1))
+      if (CountPresent(job) == 0) return true;
+    return false;
+  }
+
+  long CountPresent(const std::string& job) const {
+    long present = 0;
+    for (const ExecutionEvent& event : cluster_.history().events())
+      if (event.task.rfind(job + "/", 0) == 0) present += event.starts ? 1 : -1;
+    return present;
+  }
+
+  // The job's status from the first controller that answers.
+  std::string AnsweredStatus(const std::string& job) {
+    for (size_t i = 0; i < cluster_.controllers().size(); ++i)
+      if (const std::string status = cluster_.clients().Status(job);
+          !status.empty())
+        return status;
+    return "";
+  }
+
+  void ExpectBoundedMessages() const {
+    EXPECT_EQ(cluster_.history().oversized_messages(),
+              std::vector<std::string>());
+    EXPECT_EQ(cluster_.history().FindConcurrentExecutions(),
+              std::vector<std::string>());
+  }
+
+  LoopbackCluster cluster_{kControllers, kMachines};
+};
+
+// Guards against an accepted array that never starts: the start commands for
+// one machine went into a line of over 64 KiB (review/3). A second array is
+// cancelled and the leader is killed while both run.
+TEST_F(SmallTasksTest, AnArrayOfThousandsOfTasksIsDoneThroughAFailover) {
+  const int leader = cluster_.WaitForLeader(20);
+  ASSERT_GE(leader, 0);
+  ASSERT_NO_FATAL_FAILURE(Submit("job-200001", 3000, kSmallCpus));
+  ASSERT_NO_FATAL_FAILURE(Submit("job-200002", 2000, kSmallCpus));
+  ASSERT_TRUE(WaitForStarts(1000));
+  ASSERT_TRUE(cluster_.clients().Cancel("job-200002"));
+  cluster_.controllers().Kill(leader);
+  ASSERT_GE(cluster_.WaitForLeader(20, leader), 0);
+  EXPECT_TRUE(WaitUntilGone("job-200002", kControllers.cancel_deadline_s));
+  EXPECT_TRUE(cluster_.WaitUntilAllDone({"job-200001"}, kTimeoutS));
+  EXPECT_EQ(AnsweredStatus("job-200002"), "cancelled");
+  ExpectBoundedMessages();
+}
+
+}  // namespace
+}  // namespace sorrelwood::test
--- a/tests/simulation/action_dispatcher.cc
+++ b/tests/simulation/action_dispatcher.cc
@@ -2,6 +2,7 @@
 
 #include <variant>
 
+#include "simulation/invariants/invariants.h"
 #include "simulation/simulated_cluster.h"
 
 namespace sorrelwood::test {
@@ -78,7 +79,8 @@
   Worker* worker = cluster_.workers().Find(push.machine);
   if (!worker || !worker->up ||
       !cluster_.workers().IsConnected(sender.controller, *worker) ||
-      !cluster_.workers().ReceivesMessages(*worker))
+      !cluster_.workers().ReceivesMessages(*worker) ||
+      !CheckPushSize(cluster_, push))
     return;
   PushResult result;
   result.id = push.id;
--- a/tests/simulation/heartbeats.cc
+++ b/tests/simulation/heartbeats.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "simulation/invariants/invariants.h"
 #include "simulation/simulated_cluster.h"
 
 namespace sorrelwood::test {
@@ -26,6 +27,10 @@
                 (0.75 + 0.5 * cluster_.random().Uniform());
   worker.request = cluster_.NextRequestId();
   const Heartbeat heartbeat = worker.MakeHeartbeat(now);
+  if (!CheckReportSize(cluster_, heartbeat)) {
+    worker.awaits_response = false;
+    return;
+  }
   pending_[worker.request] = {worker.name, worker.controller,
                               heartbeat.incarnation, now};
   ScheduleDeliveries(worker, worker.request, heartbeat);
@@ -116,6 +121,7 @@
   if (!worker->awaits_response || worker->request != response.request) return;
   if (!cluster_.workers().IsConnected(heartbeat.controller, *worker) ||
       !cluster_.workers().ReceivesMessages(*worker) ||
+      !CheckResponseSize(cluster_, response) ||
       cluster_.random().Chance(cluster_.options().loss_probability))
     return;  // lost: the worker's time-out follows
   worker->awaits_response = false;
--- a/tests/simulation/invariants/invariants.h
+++ b/tests/simulation/invariants/invariants.h
@@ -67,6 +67,14 @@
 void CheckRefusedValueIsGivenUp(SimulatedCluster& cluster,
                                 const std::string& key, int refusals);
 
+// message_size.cc: reports, responses to heartbeats and pushed commands stay
+// within the bounds of the protocol. Returns whether the message does; the
+// simulated worker neither sends nor reads a larger one.
+bool CheckReportSize(SimulatedCluster& cluster, const Heartbeat& report);
+bool CheckResponseSize(SimulatedCluster& cluster,
+                       const HeartbeatResponse& response);
+bool CheckPushSize(SimulatedCluster& cluster, const PushedCommands& push);
+
 // client_answers.cc: the reported state of a job is correct, and a final state
 // stays the same whichever controller reports it.
 void CheckUnknownJobIsNotServed(SimulatedCluster& cluster,
--- a/tests/simulation/options.h
+++ b/tests/simulation/options.h
@@ -153,6 +153,9 @@
   // Adds an array of 3,000 short tasks, whose progress record is larger than
   // the dropped limit of a value.
   bool long_array = false;
+  // Adds so many arrays of 800 to 2,400 tasks of 0.002 to 0.05 cores each, far
+  // more on a machine than a worker can report.
+  int small_task_arrays = 0;
   // Arrays of one team, all able to save progress, submitted within
   // `burst_for_s` from `burst_at_s` on.
   int burst_jobs = 0;
--- a/tests/simulation/scenarios/scenario.cc
+++ b/tests/simulation/scenarios/scenario.cc
@@ -59,6 +59,7 @@
   std::vector<Scenario> scenarios = BasicScenarios();
   Append(CombinedScenarios(), &scenarios);
   Append(ServiceScenarios(), &scenarios);
+  Append(SmallTaskScenarios(), &scenarios);
   return scenarios;
 }
 
--- a/tests/simulation/scenarios/scenario.h
+++ b/tests/simulation/scenarios/scenario.h
@@ -64,6 +64,7 @@
 std::vector<Scenario> BasicScenarios();
 std::vector<Scenario> CombinedScenarios();
 std::vector<Scenario> ServiceScenarios();
+std::vector<Scenario> SmallTaskScenarios();
 
 // All scenarios, in the order of the parameterized tests.
 std::vector<Scenario> AllScenarios();
--- a/tests/simulation/simulated_cluster.cc
+++ b/tests/simulation/simulated_cluster.cc
@@ -71,6 +71,7 @@
   workload.AddSingleTaskJobs();
   workload.AddServices();
   if (options_.long_array) workload.AddLongArray();
+  workload.AddSmallTaskArrays();
   workload.AddBurst();
 }
 
--- a/tests/simulation/workload.cc
+++ b/tests/simulation/workload.cc
@@ -1,8 +1,11 @@
 #include "simulation/workload.h"
 
+#include <iterator>
 #include <string>
 #include <utility>
 
+#include "base/constants.h"
+
 namespace sorrelwood::test {
 namespace {
 
@@ -167,6 +170,34 @@
   clients_.AddJob(10, spec, spec.estimate_s);
 }
 
+void Workload::AddSmallTaskArrays() {
+  constexpr double kCpus[] = {0.002, 0.005, 0.01, 0.05};
+  for (int i = 0; i < options_.small_task_arrays; ++i) {
+    JobSpec spec;
+    spec.id = JobId(7, i);
+    // Every other id is as long as an id may be.
+    if (i % 2) spec.id.resize(kMaxIdBytes, 'x');
+    spec.job_class = "small tasks";
+    spec.team = TeamForIndex(i);
+    spec.tasks = 800 + static_cast<uint32_t>(random_.Below(1601));
+    spec.cpus = kCpus[i % std::size(kCpus)];
+    spec.memory_gb = 0.001;
+    spec.image = "img-small";
+    spec.image_gb = 0.1;
+    spec.spot = true;
+    if (random_.Chance(options_.checkpoint_share)) {
+      spec.checkpoint_interval_s = 5;
+      spec.save_s = 1;
+    }
+    spec.estimate_s = 4 + 20 * random_.Uniform();
+    const double at_s = 5 + 40 * random_.Uniform();
+    const double cancel_at_s = random_.Chance(options_.cancel_share)
+                                   ? at_s + 10 + 20 * random_.Uniform()
+                                   : 0;
+    clients_.AddJob(at_s, spec, spec.estimate_s, cancel_at_s);
+  }
+}
+
 void Workload::AddBurst() {
   for (int i = 0; i < options_.burst_jobs; ++i) {
     JobSpec spec;
--- a/tests/simulation/workload.h
+++ b/tests/simulation/workload.h
@@ -24,6 +24,7 @@
   void AddServices();
   // Adds an array whose progress record exceeds the dropped limit of a value.
   void AddLongArray();
+  void AddSmallTaskArrays();
   void AddBurst();
 
  private:
