Read back the names and keys of jobs with the longest ids

Cause: JsonReader refuses strings of over kMaxIdBytes, also those that hold an id and more: the keys of the job's records in the answer to a watch, which is then refused as a whole, so that no controller hears of a change any more; and the names of its tasks in a worker's report, which is answered 400, so that the worker's lease runs out.

Change: the reader of such strings is told their bound, the protocol's 200 bytes for a key, an id with slash and number for a task's name.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -218,6 +218,12 @@
 // Digits of a task number in a task's name.
 inline constexpr size_t kMaxTaskDigits = 6;
 
+// Longest name of a task: the job's id, a slash and the task number.
+inline constexpr size_t kMaxTaskNameBytes = kMaxIdBytes + 1 + kMaxTaskDigits;
+
+// Longest key in the state service (protocol).
+inline constexpr size_t kMaxStateKeyBytes = 200;
+
 // --- Workers ---
 
 // Upper bound of the size of a worker's report without its tasks: four names of
--- a/src/protocol/json_reader.cc
+++ b/src/protocol/json_reader.cc
@@ -50,7 +50,7 @@
   auto text = value->get<std::string>();
   if (text.empty() && empty == EmptyString::kRefused)
     Fail(field, "must not be empty");
-  if (text.size() > kMaxIdBytes) Fail(field, "is too long");
+  if (text.size() > max_string_bytes_) Fail(field, "is too long");
   return text;
 }
 
--- a/src/protocol/json_reader.h
+++ b/src/protocol/json_reader.h
@@ -3,12 +3,14 @@
 // of this folder use this header.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "base/constants.h"
 #include "base/parse_error.h"
 
 namespace sorrelwood::protocol {
@@ -39,8 +41,9 @@
   // Whether an empty string is an error.
   enum class EmptyString { kRefused, kAllowed };
 
-  // `object` must outlive the reader.
-  explicit JsonReader(const Json& object) : object_(object) {}
+  // `object` must outlive the reader. Longer strings are errors.
+  explicit JsonReader(const Json& object, size_t max_string_bytes = kMaxIdBytes)
+      : object_(object), max_string_bytes_(max_string_bytes) {}
 
   // True if no field so far was invalid.
   bool ok() const { return ok_; }
@@ -57,7 +60,7 @@
   // Returns the field's value; null if the field is absent or null.
   const Json* Find(const char* field) const;
 
-  // Reads a string of at most kMaxIdBytes bytes.
+  // Reads a string.
   std::string ReadString(const char* field,
                          Presence presence = Presence::kRequired,
                          EmptyString empty = EmptyString::kRefused);
@@ -79,6 +82,7 @@
   void FailIfRequired(const char* field, Presence presence);
 
   const Json& object_;
+  const size_t max_string_bytes_;
   bool ok_ = true;
   ParseError error_;
 };
--- a/src/protocol/state_service_codec.cc
+++ b/src/protocol/state_service_codec.cc
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <utility>
 
+#include "base/constants.h"
 #include "protocol/field_names.h"
 #include "protocol/json_reader.h"
 
@@ -42,7 +43,7 @@
 }
 
 ParseResult<KeyValue> ReadChange(const Json& object) {
-  JsonReader reader(object);
+  JsonReader reader(object, kMaxStateKeyBytes);
   KeyValue change;
   change.version = reader.ReadCount(field::kVersion);
   if (reader.Find(field::kRemove)) {
--- a/src/protocol/worker_codec.cc
+++ b/src/protocol/worker_codec.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/constants.h"
 #include "protocol/client_codec.h"
 #include "protocol/field_names.h"
 #include "protocol/identifiers.h"
@@ -36,7 +37,7 @@
 }
 
 ParseResult<TaskStatus> ReadTaskStatus(const Json& object) {
-  JsonReader reader(object);
+  JsonReader reader(object, kMaxTaskNameBytes);
   const std::optional<TaskId> id =
       ParseTaskName(reader.ReadString(field::kTask));
   if (!id) return MakeParseError(field::kTask, "is not a task's name");
--- a/tests/loopback/small_tasks_test.cc
+++ b/tests/loopback/small_tasks_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "base/constants.h"
 #include "loopback/loopback_cluster.h"
 
 namespace sorrelwood::test {
@@ -91,5 +92,18 @@
   ExpectBoundedMessages();
 }
 
+// Guards against a job with the longest id that is accepted: its tasks' names
+// and the keys of its records must be read back. Other jobs run beside it.
+TEST_F(SmallTasksTest, JobsWithTheLongestIdsAreDone) {
+  ASSERT_GE(cluster_.WaitForLeader(20), 0);
+  const std::string longest_id = "job-" + std::string(kMaxIdBytes - 4, 'x');
+  ASSERT_NO_FATAL_FAILURE(Submit("job-200003", 2, 1));
+  ASSERT_NO_FATAL_FAILURE(Submit(longest_id, 1000, kSmallCpus));
+  ASSERT_NO_FATAL_FAILURE(Submit("job-200004", 2, 1));
+  EXPECT_TRUE(cluster_.WaitUntilAllDone(
+      {"job-200003", longest_id, "job-200004"}, kTimeoutS));
+  ExpectBoundedMessages();
+}
+
 }  // namespace
 }  // namespace sorrelwood::test
--- a/tests/protocol_test.cc
+++ b/tests/protocol_test.cc
@@ -8,8 +8,11 @@
 #include <utility>
 #include <vector>
 
+#include "base/constants.h"
+#include "core/coordination/keys.h"
 #include "protocol/client_codec.h"
 #include "protocol/cloud_codec.h"
+#include "protocol/identifiers.h"
 #include "protocol/state_service_codec.h"
 #include "protocol/stored_records_codec.h"
 #include "protocol/worker_codec.h"
@@ -193,6 +196,34 @@
   }
 }
 
+// Guards against a report and a watch that are refused as a whole because of a
+// job with the longest id that a submission may have.
+TEST(WorkerCodec, ReadsTasksOfTheLongestName) {
+  const std::string id = "job-" + std::string(kMaxIdBytes - 4, 'x');
+  EXPECT_TRUE(protocol::IsValidJobId(id));
+  EXPECT_FALSE(protocol::IsValidJobId(id + "x"));
+  const auto heartbeat = protocol::ParseHeartbeat(
+      R"({"perch":"n-1","build":"b","room":"a","shift":1,"tick":1,"parts":[)"
+      R"({"part":")" +
+      id + R"(/99999","try":18446744073709551615,"status":"running"}]})");
+  ASSERT_TRUE(heartbeat) << heartbeat.error().Message();
+  ASSERT_EQ(heartbeat->tasks.size(), 1u);
+  EXPECT_EQ(heartbeat->tasks[0].job, id);
+  EXPECT_EQ(heartbeat->tasks[0].task, 99999u);
+}
+
+TEST(StateServiceCodec, ReadsChangesOfTheLongestKeys) {
+  const std::string key =
+      keys::ForFinalState("job-" + std::string(kMaxIdBytes - 4, 'x'));
+  const auto answer = protocol::ParseWatchAnswer(
+      R"({"epoch":5,"news":[{"set":")" + key +
+      R"(","data":{},"stamp":4},{"remove":")" + std::string(200, 'k') +
+      R"(","stamp":5}]})");
+  ASSERT_TRUE(answer) << answer.error().Message();
+  ASSERT_EQ(answer->changes.size(), 2u);
+  EXPECT_EQ(answer->changes[0].key, key);
+}
+
 TEST(WorkerCodec, ResponseHasTokenAndCommandsOrARedirect) {
   HeartbeatResponse answer;
   answer.fencing_token = 41;
