--- a/src/core/controller/peer_status_exchange.cc
+++ b/src/core/controller/peer_status_exchange.cc
@@ -34,16 +34,32 @@
 
 std::vector<JobCounts> PeerStatusExchange::CountsToSend(
     const std::vector<JobCounts>& counts) {
-  const bool send_all = sequence_ % kMessagesPerFullPeerStatus == 0;
+  if (sequence_ % kMessagesPerFullPeerStatus == 0) last_sent_.clear();
+  const std::string resume_after = std::exchange(resume_after_, "");
+  const auto first = std::upper_bound(
+      counts.begin(), counts.end(), resume_after,
+      [](const std::string& id, const JobCounts& job) { return id < job.id; });
   std::vector<JobCounts> to_send;
   std::map<std::string, JobCounts> sent;
-  for (const JobCounts& job : counts) {
+  size_t bytes = 0;
+  const auto visit = [&](const JobCounts& job) {
     const auto previous = last_sent_.find(job.id);
-    if (send_all || previous == last_sent_.end() ||
-        !HasSameProgress(previous->second, job))
+    const bool was_sent = previous != last_sent_.end();
+    const bool changed = !was_sent || !HasSameProgress(previous->second, job);
+    const size_t job_bytes = job.id.size() + kPeerCountsOverheadBytes;
+    const bool is_full = bytes + job_bytes > kMaxPeerCountsBytes;
+    if (changed && !is_full) {
+      bytes += job_bytes;
       to_send.push_back(job);
-    sent[job.id] = job;
-  }
+      sent[job.id] = job;
+      return;
+    }
+    if (changed && resume_after_.empty() && !to_send.empty())
+      resume_after_ = to_send.back().id;
+    if (was_sent) sent[job.id] = previous->second;
+  };
+  std::for_each(first, counts.end(), visit);
+  std::for_each(counts.begin(), first, visit);
   last_sent_ = std::move(sent);
   return to_send;
 }
--- a/src/core/controller/peer_status_exchange.h
+++ b/src/core/controller/peer_status_exchange.h
@@ -41,9 +41,10 @@
   void OnPeerStatus(const PeerStatus& status);
 
  private:
-  // Returns the counts that have changed since they were last sent. Every
-  // kMessagesPerFullPeerStatus messages it returns all, since messages may be
-  // lost.
+  // Returns the counts that have changed since they were last sent, as many as
+  // fit into a message; the others follow with the next ones. From every
+  // kMessagesPerFullPeerStatus-th message on all are sent again, since messages
+  // may be lost.
   std::vector<JobCounts> CountsToSend(const std::vector<JobCounts>& counts);
 
   Context* context_;
@@ -55,6 +56,9 @@
   PeriodicTimer timer_{kPeerStatusIntervalS};
   uint64_t sequence_ = 0;                       // of the latest message
   std::map<std::string, JobCounts> last_sent_;  // by job id
+  // The last job in a message that was full; empty: no message was. The next
+  // message begins behind it.
+  std::string resume_after_;
 };
 
 }  // namespace sorrelwood
--- a/src/peer/peer_connection.cc
+++ b/src/peer/peer_connection.cc
@@ -21,8 +21,6 @@
 namespace sorrelwood {
 namespace {
 
-// Far more than a message with the counts of a few thousand jobs.
-constexpr uint32_t kMaxMessageBytes = 1 << 20;
 constexpr int kSendTimeoutMs = 1500;
 // Peers send about once a second, so one that is silent for this long is gone.
 constexpr int kReceiveTimeoutMs = 15000;
@@ -144,7 +142,7 @@
     uint32_t size = 0;
     if (!ReadAll(socket, reinterpret_cast<char*>(&size), sizeof(size))) break;
     size = ntohl(size);
-    if (size == 0 || size > kMaxMessageBytes) break;
+    if (size == 0 || size > kMaxPeerMessageBytes) break;
     std::string bytes(size, '\0');
     if (!ReadAll(socket, bytes.data(), size)) break;
     ParseResult<PeerStatus> status = DecodePeerStatus(bytes);
