Bound transactions by the protocol's size, not by their values alone

With the limits of the deployments (8 and 16 KiB a value, 12 and 16 changes) the bound held; with others it did not: 65,865 bytes with values of 64 KiB, 476,012 bytes of preconditions with 500 changes (StateWriter.TransactionsStayWithinTheProtocolsSize, StateLimits.PreconditionsFitIntoATransaction, both failed before). Keys, preconditions and field names are counted now.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -110,9 +110,19 @@
 // Pause after a failed write.
 inline constexpr double kWriteRetryS = 0.3;
 
-// Limit on the sum of the values in one transaction: half of the protocol's
-// 64 KiB, which also have to hold keys, preconditions and quoting.
-inline constexpr size_t kMaxTransactionValueBytes = size_t{32} * 1024;
+// Largest transaction (protocol: 64 KiB) less what precedes its entries.
+inline constexpr size_t kMaxTransactionBytes = size_t{63} * 1024;
+
+// Upper bound of the size of one key's precondition without the key: field
+// names and a version.
+inline constexpr size_t kPreconditionOverheadBytes = 40;
+
+// Upper bound of the size of one mutation without key and value.
+inline constexpr size_t kMutationOverheadBytes = 56;
+
+// Largest value that a transaction can hold beside the keys and preconditions
+// of a submission.
+inline constexpr size_t kMaxValueBytes = size_t{60} * 1024;
 
 // Tasks whose completion is stored under one key: 16,384 bits are 4 KiB in
 // hexadecimal.
--- a/src/core/coordination/state_limits.cc
+++ b/src/core/coordination/state_limits.cc
@@ -23,14 +23,18 @@
 }
 
 size_t StateLimitTracker::max_preconditions() const {
-  return static_cast<size_t>(max_mutations()) * kMaxPreconditionsPerMutation;
+  constexpr size_t kMaxInTransaction =
+      kMaxTransactionBytes / (kMaxStateKeyBytes + kPreconditionOverheadBytes);
+  return std::min(
+      static_cast<size_t>(max_mutations()) * kMaxPreconditionsPerMutation,
+      kMaxInTransaction);
 }
 
 size_t StateLimitTracker::max_value_bytes() const {
   const double kib = value_limit_lowered_ ? std::min(current_.max_value_kib,
                                                      announced_.max_value_kib)
                                           : current_.max_value_kib;
-  return static_cast<size_t>(kib * 1024);
+  return std::min(static_cast<size_t>(kib * 1024), kMaxValueBytes);
 }
 
 double StateLimitTracker::mutations_per_s() const {
--- a/src/core/coordination/state_limits.h
+++ b/src/core/coordination/state_limits.h
@@ -22,11 +22,13 @@
   // Mutations per transaction: the smaller of the current and the announced
   // limit from the start, so that no batch is ever refused for its length.
   int max_mutations() const;
-  // Preconditions per transaction.
+  // Preconditions per transaction, by the service's limits on their number and
+  // on the size of a transaction.
   size_t max_preconditions() const;
   // Bytes per value: the current limit until a value is refused. Until then all
   // records keep a form that the previous version of the software can read,
-  // since controllers of that version may still run.
+  // since controllers of that version may still run. Never more than fits into
+  // a transaction.
   size_t max_value_bytes() const;
   // Mutations per second, of all controllers together.
   double mutations_per_s() const;
--- a/src/core/coordination/state_writer.cc
+++ b/src/core/coordination/state_writer.cc
@@ -6,6 +6,15 @@
 #include "core/coordination/keys.h"
 
 namespace sorrelwood {
+namespace {
+
+// Bytes that a mutation takes in a transaction with its precondition, at most.
+size_t EncodedBytes(const Mutation& mutation) {
+  return 2 * mutation.key.size() + mutation.value.size() +
+         kPreconditionOverheadBytes + kMutationOverheadBytes;
+}
+
+}  // namespace
 
 StateWriter::StateWriter(Context* context, LeaderElection* election,
                          const StateLimitTracker* limits)
@@ -89,19 +98,21 @@
   std::vector<Entry> batch;
   size_t bytes = 0;
   while (!(urgent_queue_.empty() && normal_queue_.empty()) &&
-         batch.size() < max_entries && bytes < kMaxTransactionValueBytes) {
+         batch.size() < max_entries) {
     auto& queue = urgent_queue_.empty() ? normal_queue_ : urgent_queue_;
     const std::string key = queue.front();
     auto pending = pending_.find(key);
     const bool send_alone =
         pending->second.send_alone && !uncertain_keys_.count(key);
-    if (send_alone && !batch.empty()) break;
+    const size_t entry_bytes = EncodedBytes(pending->second.mutation);
+    const bool fits = bytes + entry_bytes <= kMaxTransactionBytes;
+    if ((send_alone || !fits) && !batch.empty()) break;
     queue.pop_front();
     if (uncertain_keys_.count(key)) {
       ReadVersion(key);
       continue;
     }
-    bytes += pending->second.mutation.value.size();
+    bytes += entry_bytes;
     batch.push_back(std::move(pending->second));
     pending_.erase(pending);
     if (send_alone) break;
--- a/tests/state_writer_test.cc
+++ b/tests/state_writer_test.cc
@@ -3,9 +3,15 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdint>
+#include <limits>
 #include <string>
+#include <utility>
+#include <variant>
 
+#include "base/constants.h"
 #include "core/coordination/keys.h"
+#include "protocol/state_service_codec.h"
 #include "scripted_leader.h"
 
 namespace sorrelwood {
@@ -69,5 +75,55 @@
   EXPECT_LT(2 * ends + progress, 12 * rate);
 }
 
+constexpr size_t kMaxTransactionBytesOfService = size_t{64} * 1024;  // protocol
+
+std::string LongestKey(int index) {
+  std::string id = "job-" + std::to_string(100000 + index);
+  id.resize(kMaxIdBytes, 'x');
+  return keys::ForCompletionsPart(id, 6, 98304);
+}
+
+// Guards against a transaction that the state service refuses for its size,
+// whatever its other limits allow.
+TEST(StateWriter, TransactionsStayWithinTheProtocolsSize) {
+  for (const double value_kib : {1.0, 16.0, 32.0, 64.0}) {
+    for (const int max_mutations : {16, 500}) {
+      Context context{1};
+      JobCache job_cache{&context};
+      LeaderElection election{&context, &job_cache, "node-0", 14, 39};
+      ClusterSettings settings;
+      settings.state_max_value_kib = value_kib;
+      settings.state_max_mutations_per_transaction = max_mutations;
+      settings.state_mutations_per_s = 2000;
+      StateLimitTracker limits{settings};
+      StateWriter writer{&context, &election, &limits};
+      const std::string text(limits.max_value_bytes() - 2, 'v');
+      for (int i = 0; i < max_mutations; ++i)
+        writer.Put(LongestKey(i), "\"" + text + "\"");
+      context.now = 10;
+      writer.Tick();
+      ASSERT_FALSE(context.actions.empty());
+      const auto& sent = std::get<StateTransaction>(context.actions.front());
+      EXPECT_GE(sent.mutations.size(), 1u);
+      EXPECT_LE(protocol::EncodeTransaction(sent).size(),
+                kMaxTransactionBytesOfService)
+          << value_kib << " KiB, " << max_mutations << " mutations";
+    }
+  }
+}
+
+TEST(StateLimits, PreconditionsFitIntoATransaction) {
+  ClusterSettings settings;
+  settings.state_max_mutations_per_transaction = 500;
+  StateTransaction transaction;
+  const size_t count = StateLimitTracker(settings).max_preconditions();
+  EXPECT_GE(count, 64u);
+  for (size_t i = 0; i < count; ++i)
+    transaction.preconditions.push_back(
+        {std::string(200, 'k'), std::numeric_limits<uint64_t>::max()});
+  EXPECT_LE(protocol::EncodeTransaction(transaction).size(),
+            kMaxTransactionBytesOfService);
+}
+
 }  // namespace
 }  // namespace sorrelwood
