Small tasks leave report space for the whole cores beside them

Tasks of less than a core now leave one entry of the report for each whole core that stays free, at most half of the report. Answers to users are covered by a test as well (nothing to fix).

--- a/src/core/jobs/task_resources.h
+++ b/src/core/jobs/task_resources.h
@@ -16,8 +16,9 @@
 
   TaskResources& operator+=(const TaskResources& other);
   TaskResources& operator-=(const TaskResources& other);
-  // Whether tasks that use these resources fit into `free`; sums drift by
-  // rounding, so a small excess is allowed.
+  // Whether a task that uses these resources fits into `free`; sums drift by
+  // rounding, so a small excess is allowed. A task of less than a core leaves
+  // the part of the report that the remaining cores may need.
   bool FitInto(const TaskResources& free) const;
 };
 
--- a/src/protocol/worker_message_size.cc
+++ b/src/protocol/worker_message_size.cc
@@ -1,7 +1,6 @@
 #include "protocol/worker_message_size.h"
 
 #include <algorithm>
-#include <cctype>
 #include <cstdint>
 #include <limits>
 #include <string_view>
@@ -18,11 +17,6 @@
 // character.
 constexpr size_t kMaxBytesPerEscapedByte = 6;
 
-// An entry with the longest names of states and causes, without task name and
-// attempt number.
-constexpr std::string_view kLongestReportedTask =
-    R"({"part": "/", "try": , "status": "flushing", "cause": "no_such", )"
-    R"("saved": false}, )";
 // A command of the longest form, without task name, attempt number and grace
 // period.
 constexpr std::string_view kLongestCommand =
@@ -42,8 +36,7 @@
 }  // namespace
 
 size_t MaxReportedTaskBytes(const std::string& job_id) {
-  return kLongestReportedTask.size() + job_id.size() + kMaxTaskDigits +
-         kMaxIntegerDigits;
+  return kReportedTaskOverheadBytes + job_id.size();
 }
 
 size_t MaxCommandBytes(const Command& command) {
--- a/tests/scripted_leader.h
+++ b/tests/scripted_leader.h
@@ -211,6 +211,7 @@
     Handle(controller_->Submit(Time(), ++request_, spec));
   }
   int user_status() const { return user_answer_.status; }
+  size_t user_answer_bytes() const { return user_answer_.body.size(); }
   int user_reads = 0;
 
   Controller::Statistics CollectStatistics() {
