--- a/tests/loopback/small_tasks_test.cc
+++ b/tests/loopback/small_tasks_test.cc
@@ -48,8 +48,9 @@
     return false;
   }
 
-  long CountPresent(const std::string& job) const {
-    long present = 0;
+  // The number of the job's tasks on all machines.
+  int CountPresent(const std::string& job) const {
+    int present = 0;
     for (const ExecutionEvent& event : cluster_.history().events())
       if (event.task.rfind(job + "/", 0) == 0) present += event.starts ? 1 : -1;
     return present;
@@ -58,8 +59,7 @@
   // The job's status from the first controller that answers.
   std::string AnsweredStatus(const std::string& job) {
     for (size_t i = 0; i < cluster_.controllers().size(); ++i)
-      if (const std::string status = cluster_.clients().Status(job);
-          !status.empty())
+      if (std::string status = cluster_.clients().Status(job); !status.empty())
         return status;
     return "";
   }
--- a/tests/message_size_test.cc
+++ b/tests/message_size_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <limits>
 #include <map>
 #include <random>
@@ -284,7 +285,7 @@
   EXPECT_LE(protocol::EncodeHeartbeatResponse(first).size(), kMaxLineBytes);
   EXPECT_GT(first.commands.size(), 400u);
   tasks.erase(tasks.begin(),
-              tasks.begin() + static_cast<long>(first.commands.size()));
+              tasks.begin() + static_cast<ptrdiff_t>(first.commands.size()));
   const HeartbeatResponse second =
       leader_.OnHeartbeat("n-1", 1, 101, leader_.token(), tasks);
   EXPECT_LE(protocol::EncodeHeartbeatResponse(second).size(), kMaxLineBytes);
--- a/tests/peer_status_test.cc
+++ b/tests/peer_status_test.cc
@@ -39,6 +39,7 @@
     by_id[id] = {id, i, 1};
   }
   std::vector<JobCounts> counts;
+  counts.reserve(by_id.size());
   for (const auto& [id, job] : by_id) counts.push_back(job);
   return counts;
 }
--- a/tests/protocol_test.cc
+++ b/tests/protocol_test.cc
@@ -215,10 +215,10 @@
 TEST(StateServiceCodec, ReadsChangesOfTheLongestKeys) {
   const std::string key =
       keys::ForFinalState("job-" + std::string(kMaxIdBytes - 4, 'x'));
-  const auto answer = protocol::ParseWatchAnswer(
-      R"({"epoch":5,"news":[{"set":")" + key +
-      R"(","data":{},"stamp":4},{"remove":")" + std::string(200, 'k') +
-      R"(","stamp":5}]})");
+  const auto answer =
+      protocol::ParseWatchAnswer(R"({"epoch":5,"news":[{"set":")" + key +
+                                 R"(","data":{},"stamp":4},{"remove":")" +
+                                 std::string(200, 'k') + R"(","stamp":5}]})");
   ASSERT_TRUE(answer) << answer.error().Message();
   ASSERT_EQ(answer->changes.size(), 2u);
   EXPECT_EQ(answer->changes[0].key, key);
