--- a/tests/simulation_test.cc
+++ b/tests/simulation_test.cc
@@ -64,7 +64,8 @@
 int CountSubmittedJobs(const SimulationOptions& options) {
   constexpr int kBestEffortJobs = 61;
   constexpr double kSingleTaskJobsDurationS = 120;
-  return options.jobs + options.small_task_arrays + (options.best_effort_team ? kBestEffortJobs : 0) +
+  return options.jobs + options.small_task_arrays +
+         (options.best_effort_team ? kBestEffortJobs : 0) +
          static_cast<int>(options.single_task_jobs_per_s *
                           kSingleTaskJobsDurationS) +
          options.services + (options.long_array ? 1 : 0);
