--- a/review/standins-2/util.cc
+++ b/review/standins-2/util.cc
@@ -75,19 +75,21 @@
 }
 
 int FreePort() {
-  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t length = sizeof(address);
-  if (bind(socket, reinterpret_cast<sockaddr*>(&address), length) != 0) {
+  // Below the ports that the system gives to outgoing connections.
+  constexpr double kLowest = 12000, kHighest = 32000;
+  for (int tries = 0; tries < 1000; ++tries) {
+    const int port = static_cast<int>(RandomBetween(kLowest, kHighest));
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<uint16_t>(port));
+    const bool free = bind(socket, reinterpret_cast<sockaddr*>(&address),
+                           sizeof(address)) == 0;
     close(socket);
-    return -1;
+    if (free) return port;
   }
-  getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length);
-  const int port = ntohs(address.sin_port);
-  close(socket);
-  return port;
+  return -1;
 }
 
 double RandomBetween(double low, double high) {
