--- a/review/standins-2/cluster.cc
+++ b/review/standins-2/cluster.cc
@@ -283,6 +283,9 @@
     StartController(i);
   }
   return WaitFor(within_s, [this] {
+    // A port may have been taken meanwhile.
+    for (int i = 0; i < site_.controllers; ++i)
+      if (!IsRunning(i)) StartController(i);
     if (Leader() < 0) return false;
     for (int i = 0; i < site_.controllers; ++i) {
       Client client(address(i), 1);
