--- a/review/standins-2/cluster.h
+++ b/review/standins-2/cluster.h
@@ -61,8 +61,8 @@
   void Kill(int controller);
   // Ends all processes and removes their files.
   void KillAll();
-  void Stop(int controller);       // SIGSTOP
-  void Continue(int controller);   // SIGCONT
+  void Stop(int controller);      // SIGSTOP
+  void Continue(int controller);  // SIGCONT
   void StartController(int controller);
   // False if the process has ended by itself.
   bool IsRunning(int controller);
--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -9,8 +9,8 @@
 // What a job does, known from its submission and from the test.
 struct JobPlan {
   json submission;
-  double run_s = 1;        // run time of a task
-  bool mistaken = false;   // fails on every machine
+  double run_s = 1;       // run time of a task
+  bool mistaken = false;  // fails on every machine
 };
 
 // The jobs that users have uploaded, results and saved progress: what lies
@@ -66,7 +66,8 @@
 };
 
 struct WorkerSettings {
-  std::vector<std::pair<std::string, std::string>> controllers;  // name, address
+  std::vector<std::pair<std::string, std::string>>
+      controllers;  // name, address
   double report_s = 2, lease_s = 14;
   double image_s = 0.3;  // time to fetch an image
   double error_s = 0.5;  // time after which a task of a mistaken job fails
--- a/review/standins-2/state_service.h
+++ b/review/standins-2/state_service.h
@@ -18,12 +18,12 @@
 
   // What happens to the requests of one controller.
   struct Access {
-    bool refused = false;     // 503 at once
-    bool unreachable = false; // requests get lost; no answer
-    double delay_s = 0;       // answers come this much later
-    double late_share = 0;    // of transactions: no answer, carried out late
-    double slow_share = 0;    // of requests: carried out and answered slowly
-    double slow_s = 0;        // up to this much before, and as much after
+    bool refused = false;      // 503 at once
+    bool unreachable = false;  // requests get lost; no answer
+    double delay_s = 0;        // answers come this much later
+    double late_share = 0;     // of transactions: no answer, carried out late
+    double slow_share = 0;     // of requests: carried out and answered slowly
+    double slow_s = 0;         // up to this much before, and as much after
   };
   void SetAccess(int controller, const Access& access);
   // Puts the answers to watches of one controller off (s).
