--- a/review/standins-2/fleet.cc
+++ b/review/standins-2/fleet.cc
@@ -157,13 +157,13 @@
   reports_ = std::thread([this] { Reports(); });
 }
 
-void Worker::Gone() {
+void Worker::Gone(bool silent) {
   if (gone_.exchange(true)) return;
   {
     std::lock_guard lock(mutex_);
     KillAll("machine gone");
   }
-  server_.Stop();
+  if (!silent) server_.Stop();
   if (live_.joinable()) live_.detach();
   if (reports_.joinable()) reports_.detach();
 }
@@ -577,7 +577,7 @@
     worker = hosts_.at(name).worker;
   }
   Record("cloud: " + name + " stops with all that is on it");
-  worker->Gone();
+  worker->Gone(/*silent=*/true);
 }
 
 void Cloud::BootLoop() {
