Job cache: a late record of an ended job brings nothing back

JobCache took any live record for a job that it neither listed nor remembered as ended. A process that has just loaded its listing remembers no ended jobs, and its watch begins at the listing, so it never hears of this end.

The rule, in JobCache alone: a live record has one version from submission to end, and every job recorded up to `complete_revision_` (of listings and watches) has ended or is cached. So a record whose version is not above it and whose job is not cached is outdated. It holds for records from reads, submissions, listings and watches in any order, also once the end has left the cache of final states. The lookup then reads the final key, and a submission that was recorded before the end is answered with the end.

Test: JobRecordsTest, five sources of a record by five kinds of later news.

--- a/src/core/api/job_api.cc
+++ b/src/core/api/job_api.cc
@@ -81,7 +81,11 @@
   const std::string& id = job->spec.id;
   switch (result.outcome) {
     case Outcome::kOk:
-      job_cache_->ApplyLiveJob(id, result.revision, job);
+      if (job_cache_->ApplyLiveJob(id, result.revision, job) ==
+          LiveRecordResult::kEnded) {
+        responses_.AnswerEndedJob(StateConnection::kUser, {request}, id);
+        return;
+      }
       pending_.Answer(
           request, 201,
           protocol::EncodeJobStatus(id, protocol::JobStatus::kQueued));
--- a/src/core/api/job_lookup.cc
+++ b/src/core/api/job_lookup.cc
@@ -13,20 +13,36 @@
       connection, keys::ForLiveJob(id),
       [this, connection, id,
        on_located = std::move(on_located)](const StateResult& result) {
-        if (result.outcome == Outcome::kOk && !result.items.empty()) {
-          const KeyValue& item = result.items[0];
-          job_cache_->ApplyLiveJob(id, item.version, item.value);
-          on_located(JobLocation::kLive);
-        } else if (result.outcome == Outcome::kConflict) {  // no such key
+        if (result.outcome == Outcome::kConflict)  // no such key
           FindFinal(connection, id, on_located);
-        } else {
+        else if (result.outcome == Outcome::kOk && !result.items.empty())
+          OnLiveRecordRead(connection, id, result.items[0], on_located);
+        else
           on_located(JobLocation::kUnavailable);
-        }
       });
 }
 
+void JobLookup::OnLiveRecordRead(StateConnection connection,
+                                 const std::string& id, const KeyValue& record,
+                                 const Callback& on_located) {
+  if (job_cache_->ApplyLiveJob(id, record.version, record.value) !=
+      LiveRecordResult::kEnded) {
+    on_located(JobLocation::kLive);
+    return;
+  }
+  FindFinal(connection, id, [on_located](JobLocation location) {
+    // A job that has ended has a final record.
+    on_located(location == JobLocation::kNotFound ? JobLocation::kUnavailable
+                                                  : location);
+  });
+}
+
 void JobLookup::FindFinal(StateConnection connection, const std::string& id,
                           Callback on_located) {
+  if (job_cache_->FindFinalState(id)) {
+    on_located(JobLocation::kFinal);
+    return;
+  }
   context_->GetKey(
       connection, keys::ForFinalState(id),
       [this, id,
--- a/src/core/api/job_lookup.h
+++ b/src/core/api/job_lookup.h
@@ -12,7 +12,7 @@
 
 // The kind of record that the state service holds for a job.
 enum class JobLocation {
-  kLive,
+  kLive,         // the job is in the cache, unless its record is unreadable
   kFinal,        // the job has ended
   kNotFound,     // no such job was accepted
   kUnavailable,  // no valid answer from the state service
@@ -27,15 +27,20 @@
       : context_(context), job_cache_(job_cache) {}
 
   // Reads the live record and, if there is none, the final one. A job moves
-  // from live to final, so no job is missed in this order.
+  // from live to final, so no job is missed in this order. The final record is
+  // also read if the job has ended since the live one was read.
   void Find(StateConnection connection, const std::string& id,
             Callback on_located);
 
-  // Reads only the final record, for a job that is known to be no longer live.
+  // Reads only the final record, unless it is cached, for a job that is known to
+  // be no longer live.
   void FindFinal(StateConnection connection, const std::string& id,
                  Callback on_located);
 
  private:
+  void OnLiveRecordRead(StateConnection connection, const std::string& id,
+                        const KeyValue& record, const Callback& on_located);
+
   Context* context_;
   JobCache* job_cache_;
 };
--- a/src/core/coordination/job_cache.cc
+++ b/src/core/coordination/job_cache.cc
@@ -79,6 +79,7 @@
         }
         for (const KeyValue& change : result.items) ApplyChange(change);
         revision_ = std::max(revision_, result.revision);
+        complete_revision_ = std::max(complete_revision_, revision_);
         synced_at_ = std::max(synced_at_, sent_at);
         if (!request_in_flight_ && context_->now >= next_watch_at_) SendWatch();
       });
@@ -118,27 +119,45 @@
   return found->second;
 }
 
-void JobCache::ApplyLiveJob(const std::string& id, uint64_t version,
-                            const std::string& value) {
+bool JobCache::HasEnded(const std::string& id, uint64_t version) const {
+  if (final_states_.count(id)) return true;
+  return version <= complete_revision_ && !live_jobs_.count(id);
+}
+
+LiveRecordResult JobCache::ApplyLiveJob(const std::string& id, uint64_t version,
+                                        const std::string& value) {
+  if (HasEnded(id, version)) return IgnoreOutdatedRecord(id, version);
   auto cached = live_jobs_.find(id);
-  if (cached != live_jobs_.end() && cached->second.version >= version) return;
+  if (cached != live_jobs_.end() && cached->second.version >= version)
+    return LiveRecordResult::kLive;
   auto job = protocol::ParseLiveJob(value);
   if (!job || job->spec.id != id) {
     context_->Error("job record could not be parsed", {{"job", id}});
-    return;
+    return LiveRecordResult::kUnreadable;
   }
-  ApplyLiveJob(id, version, std::make_shared<LiveJob>(std::move(*job)));
+  return ApplyLiveJob(id, version, std::make_shared<LiveJob>(std::move(*job)));
 }
 
-void JobCache::ApplyLiveJob(const std::string& id, uint64_t version,
-                            std::shared_ptr<const LiveJob> job) {
-  if (final_states_.count(id)) return;  // a late update: the job has ended
+LiveRecordResult JobCache::ApplyLiveJob(const std::string& id, uint64_t version,
+                                        std::shared_ptr<const LiveJob> job) {
+  if (HasEnded(id, version)) return IgnoreOutdatedRecord(id, version);
   CachedJob& cached = live_jobs_[id];
-  if (cached.version >= version) return;
+  if (cached.version >= version) return LiveRecordResult::kLive;
   cached.version = version;
   cached.job = std::move(job);
   cached.counts.id = id;
   if (on_job_added) on_job_added(id);
+  return LiveRecordResult::kLive;
+}
+
+LiveRecordResult JobCache::IgnoreOutdatedRecord(const std::string& id,
+                                                uint64_t version) const {
+  if (context_->debug)
+    context_->Debug("outdated job record ignored",
+                    {{"job", id},
+                     {"version", version},
+                     {"complete_revision", complete_revision_}});
+  return LiveRecordResult::kEnded;
 }
 
 void JobCache::ApplyFinalState(const std::string& id, FinalState state) {
@@ -172,6 +191,7 @@
             ApplyFinalState(id, *state);
         });
   }
+  complete_revision_ = std::max(complete_revision_, listing.revision);
 }
 
 void JobCache::ApplyLeader(uint64_t version, const LeaderRecord& leader,
--- a/src/core/coordination/job_cache.h
+++ b/src/core/coordination/job_cache.h
@@ -1,6 +1,11 @@
 // Every controller's copy of the live jobs, the latest final states and the
 // leader key, kept up to date by a watch. A job changes once, from live to
-// final: a final state is never undone, in whatever order updates arrive.
+// final: an end is never undone, in whatever order updates arrive.
+//
+// The live record of a job has one version from its submission to its end, so
+// the revision up to which the cache is complete tells whether a record still
+// holds: a job whose version is not above that revision and that the cache does
+// not list has ended, even if its final state was never seen here.
 #pragma once
 
 #include <deque>
@@ -21,6 +26,13 @@
   JobCounts counts;  // as last reported by the leader, for display only
 };
 
+// What became of a live record that was handed to the job cache.
+enum class LiveRecordResult {
+  kLive,        // the cache lists the job as live
+  kEnded,       // the record is outdated: the job has ended since
+  kUnreadable,  // the record is not in a format that this version reads
+};
+
 class JobCache {
  public:
   // Consecutive watches are sent at least `min_watch_interval_s` apart.
@@ -40,10 +52,12 @@
     return live_jobs_;
   }
 
-  void ApplyLiveJob(const std::string& id, uint64_t version,
-                    const std::string& value);
-  void ApplyLiveJob(const std::string& id, uint64_t version,
-                    std::shared_ptr<const LiveJob> job);
+  // Adds the job of a live record, unless it has ended. The record may come
+  // from any answer of the state service, however late.
+  LiveRecordResult ApplyLiveJob(const std::string& id, uint64_t version,
+                                const std::string& value);
+  LiveRecordResult ApplyLiveJob(const std::string& id, uint64_t version,
+                                std::shared_ptr<const LiveJob> job);
   void ApplyFinalState(const std::string& id, FinalState state);
   // Applies a listing of all live keys. Cached jobs that it lacks have ended:
   // their final states are requested.
@@ -66,6 +80,10 @@
   void LoadListing();
   void SendWatch();
   void ApplyChange(const KeyValue& change);
+  // Whether the job of a live record with this version has ended.
+  bool HasEnded(const std::string& id, uint64_t version) const;
+  LiveRecordResult IgnoreOutdatedRecord(const std::string& id,
+                                        uint64_t version) const;
 
   Context* context_;
   const double min_watch_interval_s_;
@@ -76,7 +94,10 @@
   bool loaded_ = false;
   bool request_in_flight_ = false;  // a listing or a watch
   double retry_at_ = 0;
-  uint64_t revision_ = 0;    // the next watch starts after this revision
+  uint64_t revision_ = 0;  // the next watch starts after this revision
+  // Every job that was recorded up to this revision has ended or is cached.
+  // Above `revision_` after a listing that the watch has not caught up with.
+  uint64_t complete_revision_ = 0;
   double synced_at_ = -1e9;  // steady clock, s; -1e9: never synced
   bool leader_known_ = false;
   uint64_t leader_version_ = 0;
--- /dev/null
+++ b/tests/job_records_test.cc
@@ -0,0 +1,260 @@
+// Tests what a controller makes of records of jobs that the state service sent
+// before a job ended and that arrive after later news.
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <tuple>
+
+#include "base/constants.h"
+#include "core/api/job_api.h"
+#include "core/coordination/job_cache.h"
+#include "core/coordination/state_limits.h"
+#include "manual_state_service.h"
+
+namespace sorrelwood::test {
+namespace {
+
+constexpr char kJob[] = "job-000001";
+constexpr uint64_t kUserRequest = 1;
+
+// The answer of the state service that carries the record or the version of a
+// live job.
+enum class RecordSource {
+  kPoll,
+  kCancellation,
+  kRepeatedSubmission,
+  kSubmission,
+  kFailoverListing,
+};
+
+// What the controller learns between the time at which the record is read and
+// the time at which it arrives.
+enum class LaterNews {
+  kFirstListing,     // of a controller that has just started
+  kWatch,            // with the end of the job
+  kManyEnds,         // the same, and so many ends that the first is forgotten
+  kListingAfter410,  // since the watch is too old
+  kFailoverListing,  // before the watch shows the end of the job
+};
+
+LiveJob MakeJob(const std::string& id) {
+  LiveJob job;
+  job.spec.id = id;
+  job.spec.job_class = "class";
+  job.spec.team = "team";
+  job.spec.tasks = 1;
+  job.spec.cpus = 1;
+  job.spec.memory_gb = 1;
+  job.spec.estimate_s = 30;
+  return job;
+}
+
+// The job cache and the job API of one controller.
+class JobRecordsTest
+    : public ::testing::TestWithParam<std::tuple<RecordSource, LaterNews>> {
+ protected:
+  JobRecordsTest() {
+    context_.now = 100;
+    settings_.teams = {{"team", 100, 100, 0, 0}};
+    api_.UpdateCatalog({{"big", 16, 0, 64, 100, 1, 1, 0.4, 10, {"a"}}});
+    state_.SetLeader({"node-1", 1});
+  }
+
+  // Sends the actions of the core to the state service.
+  void SendActions() {
+    for (const Action& action : std::exchange(context_.actions, {})) {
+      if (const auto* answer = std::get_if<ClientResponse>(&action))
+        answer_ = *answer;
+      else
+        state_.Send(action);
+    }
+  }
+  void Answer(const std::string& name) {
+    SendActions();
+    ManualStateService::Request* request = state_.Find(name);
+    ASSERT_NE(request, nullptr) << name;
+    const StateResult result = state_.TakeAnswer(request);
+    context_.Deliver(result);
+    SendActions();
+  }
+  void CarryOut(const std::string& name) {
+    SendActions();
+    ManualStateService::Request* request = state_.Find(name);
+    ASSERT_NE(request, nullptr) << name;
+    state_.CarryOut(request);
+  }
+
+  void LoadCache() {
+    cache_.Tick();
+    Answer("list " + keys::kLivePrefix);
+    Answer("get " + keys::kLeader);
+    ASSERT_TRUE(cache_.loaded());
+  }
+  void ApplyFailoverListing() {
+    context_.ListKeys(keys::kLivePrefix, [this](const StateResult& result) {
+      cache_.ApplyListing(result);
+    });
+    SendActions();
+  }
+
+  // Has the record read, while the job is live, and not answered yet.
+  void ReadRecord(RecordSource source) {
+    const std::string live_key = keys::ForLiveJob(kJob);
+    switch (source) {
+      case RecordSource::kPoll:
+        api_.Poll(kUserRequest, kJob);
+        CarryOut(record_request_ = "get " + live_key);
+        return;
+      case RecordSource::kCancellation:
+        api_.Cancel(kUserRequest, kJob);
+        CarryOut(record_request_ = "get " + live_key);
+        return;
+      case RecordSource::kRepeatedSubmission:
+        api_.Submit(kUserRequest, MakeJob(kJob).spec);
+        Answer("transact " + live_key);
+        CarryOut(record_request_ = "get " + live_key);
+        return;
+      case RecordSource::kSubmission:
+        api_.Submit(kUserRequest, MakeJob(kJob).spec);
+        CarryOut(record_request_ = "transact " + live_key);
+        return;
+      case RecordSource::kFailoverListing:
+        ApplyFailoverListing();
+        CarryOut(record_request_ = "list " + keys::kLivePrefix);
+        return;
+    }
+  }
+
+  // The controller is up to date before the job is submitted, unless its first
+  // listing is the later news.
+  void ReadRecordBefore(LaterNews news, RecordSource source) {
+    if (news != LaterNews::kFirstListing) LoadCache();
+    if (source != RecordSource::kSubmission) state_.SubmitJob(MakeJob(kJob));
+    ReadRecord(source);
+  }
+
+  void Learn(LaterNews news) {
+    switch (news) {
+      case LaterNews::kFirstListing: LoadCacheBeside(); return;
+      case LaterNews::kWatch: Answer("watch"); return;
+      case LaterNews::kManyEnds: LearnManyEnds(); return;
+      case LaterNews::kListingAfter410: ReloadCache(); return;
+      case LaterNews::kFailoverListing:
+        ApplyFailoverListing();
+        AnswerLastListing();
+        return;
+    }
+  }
+  void LearnManyEnds() {
+    for (size_t i = 0; i <= kFinalStateCacheJobs; ++i) {
+      const std::string id = "job-1" + std::to_string(100000 + i);
+      state_.SubmitJob(MakeJob(id));
+      state_.EndJob(id, FinalState::kDone);
+    }
+    Answer("watch");
+    ASSERT_FALSE(cache_.FindFinalState(kJob));
+  }
+  void ReloadCache() {
+    context_.now += 1;
+    SendActions();
+    ManualStateService::Request* watch = state_.Find("watch");
+    ASSERT_NE(watch, nullptr);
+    StateResult too_old = state_.TakeAnswer(watch);
+    too_old.items.clear();
+    too_old.too_old = true;
+    context_.Deliver(too_old);
+    LoadCacheBeside();
+  }
+  // Loads the cache while the listing that carries the record may be under way.
+  void LoadCacheBeside() {
+    cache_.Tick();
+    AnswerLastListing();
+    Answer("get " + keys::kLeader);
+    ASSERT_TRUE(cache_.loaded());
+  }
+  void AnswerLastListing() {
+    SendActions();
+    ManualStateService::Request* listing = nullptr;
+    for (ManualStateService::Request& request : state_.requests())
+      if (request.name == "list " + keys::kLivePrefix) listing = &request;
+    ASSERT_NE(listing, nullptr);
+    ASSERT_FALSE(listing->result);
+    const StateResult result = state_.TakeAnswer(listing);
+    context_.Deliver(result);
+  }
+
+  // Answers the final key if the controller reads it.
+  void AnswerFinalKey() {
+    SendActions();
+    while (state_.Find("get " + keys::ForFinalState(kJob)))
+      Answer("get " + keys::ForFinalState(kJob));
+  }
+
+  Context context_{1};
+  ClusterSettings settings_;
+  ManualStateService state_;
+  JobCache cache_{&context_};
+  StateLimitTracker limits_{settings_};
+  JobApi api_{&context_, &cache_, &limits_, &settings_};
+  ClientResponse answer_{0, 0, "", 0};
+  std::string record_request_;
+};
+
+// Guards against a cancelled job that a late record brings back (review/4).
+TEST_P(JobRecordsTest, ALateRecordOfACancelledJobBringsNothingBack) {
+  const auto [source, news] = GetParam();
+  ASSERT_NO_FATAL_FAILURE(ReadRecordBefore(news, source));
+  state_.EndJob(kJob, FinalState::kCancelled);
+  ASSERT_NO_FATAL_FAILURE(Learn(news));
+  ASSERT_FALSE(cache_.FindLiveJob(kJob));
+  int added = 0;
+  cache_.on_job_added = [&added](const std::string&) { ++added; };
+  ASSERT_NO_FATAL_FAILURE(Answer(record_request_));
+  EXPECT_FALSE(cache_.FindLiveJob(kJob));
+  EXPECT_EQ(added, 0);
+  AnswerFinalKey();
+  if (source == RecordSource::kFailoverListing) return;
+  EXPECT_EQ(answer_.status, 200);
+  EXPECT_NE(answer_.body.find("cancelled"), std::string::npos) << answer_.body;
+}
+
+// Guards against a live job that is taken for an ended one.
+TEST_P(JobRecordsTest, ALateRecordOfALiveJobIsKept) {
+  const auto [source, news] = GetParam();
+  ASSERT_NO_FATAL_FAILURE(ReadRecordBefore(news, source));
+  ASSERT_NO_FATAL_FAILURE(Learn(news));
+  ASSERT_NO_FATAL_FAILURE(Answer(record_request_));
+  EXPECT_TRUE(cache_.FindLiveJob(kJob));
+  if (source == RecordSource::kFailoverListing ||
+      source == RecordSource::kCancellation)
+    return;
+  EXPECT_EQ(answer_.status, source == RecordSource::kSubmission ? 201 : 200);
+  EXPECT_NE(answer_.body.find("queued"), std::string::npos) << answer_.body;
+}
+
+std::string CaseName(
+    const ::testing::TestParamInfo<JobRecordsTest::ParamType>& test) {
+  static const char* const kSources[] = {"Poll", "Cancellation",
+                                         "RepeatedSubmission", "Submission",
+                                         "FailoverListing"};
+  static const char* const kNews[] = {"FirstListing", "Watch", "ManyEnds",
+                                      "ListingAfter410", "FailoverListing"};
+  return std::string(kSources[static_cast<int>(std::get<0>(test.param))]) +
+         "BeforeThe" + kNews[static_cast<int>(std::get<1>(test.param))];
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    EachOrder, JobRecordsTest,
+    ::testing::Combine(
+        ::testing::Values(RecordSource::kPoll, RecordSource::kCancellation,
+                          RecordSource::kRepeatedSubmission,
+                          RecordSource::kSubmission,
+                          RecordSource::kFailoverListing),
+        ::testing::Values(LaterNews::kFirstListing, LaterNews::kWatch,
+                          LaterNews::kManyEnds, LaterNews::kListingAfter410,
+                          LaterNews::kFailoverListing)),
+    CaseName);
+
+}  // namespace
+}  // namespace sorrelwood::test
