Job cache: a job that a listing lacks has ended, whoever reads its final key

What callers saw: a job was cancelled while a controller was starting, or behind a watch that was answered 410; its tasks ran on there past cancel_s.

Cause: ApplyListing kept a cached job that the listing lacked as live until one read of its final key was answered. A refused (429) or lost read was never repeated, and the leader started tasks of the job in any case until the answer came.

The listing alone proves the end: a job whose version is not above the listing's revision and that is not in it was removed. It now leaves the cache at once and its attempts are stopped; no key is read. Whether it is done or cancelled is read when a user asks, as for any job that the cache doesn't hold. A poll that is under way when the job leaves reads the final key instead of being answered from an empty entry.

--- a/src/core/api/job_lookup.cc
+++ b/src/core/api/job_lookup.cc
@@ -30,6 +30,10 @@
     on_located(JobLocation::kLive);
     return;
   }
+  if (job_cache_->FindFinalState(id)) {
+    on_located(JobLocation::kFinal);
+    return;
+  }
   FindFinal(connection, id, [on_located](JobLocation location) {
     // A job that has ended has a final record.
     on_located(location == JobLocation::kNotFound ? JobLocation::kUnavailable
@@ -39,10 +43,6 @@
 
 void JobLookup::FindFinal(StateConnection connection, const std::string& id,
                           Callback on_located) {
-  if (job_cache_->FindFinalState(id)) {
-    on_located(JobLocation::kFinal);
-    return;
-  }
   context_->GetKey(
       connection, keys::ForFinalState(id),
       [this, id,
--- a/src/core/api/job_lookup.h
+++ b/src/core/api/job_lookup.h
@@ -32,8 +32,7 @@
   void Find(StateConnection connection, const std::string& id,
             Callback on_located);
 
-  // Reads only the final record, unless it is cached, for a job that is known to
-  // be no longer live.
+  // Reads only the final record, for a job that is known to be no longer live.
   void FindFinal(StateConnection connection, const std::string& id,
                  Callback on_located);
 
--- a/src/core/api/quorum_reads.cc
+++ b/src/core/api/quorum_reads.cc
@@ -42,8 +42,8 @@
   std::vector<PendingPoll> deferred;
   for (PendingPoll& poll : pending_polls_) {
     const CachedJob* cached_job = job_cache_->FindLiveJob(poll.id);
-    if (!cached_job) {  // ended since the poll arrived; an end is final
-      responses_->AnswerFromCache(poll.request, poll.id);
+    if (!cached_job) {  // ended since the poll arrived
+      AnswerEndedJob(poll);
       continue;
     }
     if (!included_job_ids.count(poll.id)) {
@@ -61,6 +61,13 @@
   return batch;
 }
 
+void QuorumReads::AnswerEndedJob(const PendingPoll& poll) {
+  if (job_cache_->FindFinalState(poll.id))
+    responses_->AnswerFromCache(poll.request, poll.id);
+  else
+    responses_->AnswerEndedJob(StateConnection::kPoll, {poll.request}, poll.id);
+}
+
 // A transaction of preconditions alone, sent after the polls arrived, shows
 // which of their jobs are still live.
 void QuorumReads::SendBatch() {
@@ -89,9 +96,9 @@
     const bool is_still_live = result.outcome == Outcome::kOk ||
                                (has_conflict && !failed_keys.empty() &&
                                 !failed_keys.count(keys::ForLiveJob(poll.id)));
-    if (is_still_live)
+    if (is_still_live && job_cache_->Contains(poll.id))
       responses_->AnswerFromCache(poll.request, poll.id);
-    else if (has_conflict)
+    else if (is_still_live || has_conflict)
       ended_jobs[poll.id].push_back(poll.request);
     else
       pending_->AnswerStateUnavailable(poll.request);
--- a/src/core/api/quorum_reads.h
+++ b/src/core/api/quorum_reads.h
@@ -45,6 +45,8 @@
   // Removes and returns as many pending polls as one transaction may cover.
   // Answers polls for jobs that the cache no longer lists as live.
   Batch TakeBatch();
+  // Answers a poll for a job that the cache no longer lists as live.
+  void AnswerEndedJob(const PendingPoll& poll);
   void SendBatch();
   void OnBatchResult(const std::vector<PendingPoll>& polls,
                      const StateResult& result);
--- a/src/core/controller/controller.cc
+++ b/src/core/controller/controller.cc
@@ -41,7 +41,7 @@
   job_cache_.on_job_added = [this](const std::string& id) {
     leader_role_.OnJobAdded(id);
   };
-  job_cache_.on_job_ended = [this](const std::string& id, FinalState) {
+  job_cache_.on_job_ended = [this](const std::string& id) {
     leader_role_.OnJobEnded(id);
   };
   election_.on_leadership_acquired = [this] {
--- a/src/core/coordination/job_cache.cc
+++ b/src/core/coordination/job_cache.cc
@@ -1,6 +1,8 @@
 #include "core/coordination/job_cache.h"
 
 #include <algorithm>
+#include <unordered_set>
+#include <vector>
 
 #include "base/constants.h"
 #include "core/coordination/keys.h"
@@ -168,28 +170,23 @@
     final_states_in_order_.pop_front();
   }
   live_jobs_.erase(id);
-  if (on_job_ended) on_job_ended(id, state);
+  if (on_job_ended) on_job_ended(id);
 }
 
 void JobCache::ApplyListing(const StateResult& listing) {
-  std::map<std::string, bool> listed_jobs;
+  std::unordered_set<std::string> listed_jobs;
   for (const KeyValue& item : listing.items) {
     const std::string id = keys::StripPrefix(item.key, keys::kLivePrefix);
-    listed_jobs[id] = true;
     ApplyLiveJob(id, item.version, item.value);
+    listed_jobs.insert(id);
   }
-  // Jobs that are older than the listing but missing from it have ended. The
-  // final key says whether they are done or cancelled.
-  for (const auto& [id, cached] : live_jobs_) {
-    if (listed_jobs.count(id) || cached.version > listing.revision) continue;
-    context_->GetKey(
-        StateConnection::kLeader, keys::ForFinalState(id),
-        [this, id = id](const StateResult& result) {
-          if (result.outcome != Outcome::kOk || result.items.empty()) return;
-          if (const auto state =
-                  protocol::ParseFinalState(result.items[0].value))
-            ApplyFinalState(id, *state);
-        });
+  std::vector<std::string> ended_jobs;
+  for (const auto& [id, cached] : live_jobs_)
+    if (cached.version <= listing.revision && !listed_jobs.count(id))
+      ended_jobs.push_back(id);
+  for (const std::string& id : ended_jobs) {
+    live_jobs_.erase(id);
+    if (on_job_ended) on_job_ended(id);
   }
   complete_revision_ = std::max(complete_revision_, listing.revision);
 }
--- a/src/core/coordination/job_cache.h
+++ b/src/core/coordination/job_cache.h
@@ -48,6 +48,10 @@
 
   CachedJob* FindLiveJob(const std::string& id);
   std::optional<FinalState> FindFinalState(const std::string& id) const;
+  // Whether the job's state is known: live or final.
+  bool Contains(const std::string& id) const {
+    return live_jobs_.count(id) > 0 || final_states_.count(id) > 0;
+  }
   const std::map<std::string, CachedJob>& live_jobs() const {
     return live_jobs_;
   }
@@ -59,8 +63,9 @@
   LiveRecordResult ApplyLiveJob(const std::string& id, uint64_t version,
                                 std::shared_ptr<const LiveJob> job);
   void ApplyFinalState(const std::string& id, FinalState state);
-  // Applies a listing of all live keys. Cached jobs that it lacks have ended:
-  // their final states are requested.
+  // Applies a listing of all live keys. Cached jobs that it lacks have ended
+  // and leave the cache; whether they are done or cancelled is read when a user
+  // asks.
   void ApplyListing(const StateResult& listing);
 
   // The leader key as last seen. A version of 0 means that the key is absent.
@@ -72,9 +77,10 @@
   void ApplyLeader(uint64_t version, const LeaderRecord& leader,
                    uint64_t revision);
 
-  // Called for each new live job, and for each job that ends.
+  // Called for each new live job, and for each job that ends, possibly a second
+  // time when its final state becomes known.
   std::function<void(const std::string& id)> on_job_added;
-  std::function<void(const std::string& id, FinalState)> on_job_ended;
+  std::function<void(const std::string& id)> on_job_ended;
 
  private:
   void LoadListing();
--- a/tests/job_records_test.cc
+++ b/tests/job_records_test.cc
@@ -17,6 +17,8 @@
 
 constexpr char kJob[] = "job-000001";
 constexpr uint64_t kUserRequest = 1;
+// Longer than the intervals between watches and between quorum reads (s).
+constexpr double kStepS = 0.5;
 
 // The answer of the state service that carries the record or the version of a
 // live job.
@@ -51,10 +53,9 @@
 }
 
 // The job cache and the job API of one controller.
-class JobRecordsTest
-    : public ::testing::TestWithParam<std::tuple<RecordSource, LaterNews>> {
+class JobRecords : public ::testing::Test {
  protected:
-  JobRecordsTest() {
+  JobRecords() {
     context_.now = 100;
     settings_.teams = {{"team", 100, 100, 0, 0}};
     api_.UpdateCatalog({{"big", 16, 0, 64, 100, 1, 1, 0.4, 10, {"a"}}});
@@ -156,7 +157,7 @@
     ASSERT_FALSE(cache_.FindFinalState(kJob));
   }
   void ReloadCache() {
-    context_.now += 1;
+    context_.now += kStepS;
     SendActions();
     ManualStateService::Request* watch = state_.Find("watch");
     ASSERT_NE(watch, nullptr);
@@ -184,6 +185,19 @@
     context_.Deliver(result);
   }
 
+  // Refuses the read of the final key, as the state service does above its
+  // request rate.
+  void RefuseFinalKey() {
+    SendActions();
+    while (ManualStateService::Request* request =
+               state_.Find("get " + keys::ForFinalState(kJob))) {
+      StateResult refused;
+      refused.id = state_.TakeAnswer(request).id;
+      refused.outcome = Outcome::kRefused;
+      context_.Deliver(refused);
+      SendActions();
+    }
+  }
   // Answers the final key if the controller reads it.
   void AnswerFinalKey() {
     SendActions();
@@ -191,6 +205,12 @@
       Answer("get " + keys::ForFinalState(kJob));
   }
 
+  void ExpectToldCancelled() {
+    EXPECT_EQ(answer_.status, 200);
+    EXPECT_NE(answer_.body.find("cancelled"), std::string::npos)
+        << answer_.body;
+  }
+
   Context context_{1};
   ClusterSettings settings_;
   ManualStateService state_;
@@ -201,6 +221,12 @@
   std::string record_request_;
 };
 
+class JobRecordsTest : public JobRecords,
+                       public ::testing::WithParamInterface<
+                           std::tuple<RecordSource, LaterNews>> {};
+// The same, with a listing as the later news.
+class JobListingTest : public JobRecordsTest {};
+
 // Guards against a cancelled job that a late record brings back (review/4).
 TEST_P(JobRecordsTest, ALateRecordOfACancelledJobBringsNothingBack) {
   const auto [source, news] = GetParam();
@@ -214,9 +240,27 @@
   EXPECT_FALSE(cache_.FindLiveJob(kJob));
   EXPECT_EQ(added, 0);
   AnswerFinalKey();
-  if (source == RecordSource::kFailoverListing) return;
-  EXPECT_EQ(answer_.status, 200);
-  EXPECT_NE(answer_.body.find("cancelled"), std::string::npos) << answer_.body;
+  if (source != RecordSource::kFailoverListing) ExpectToldCancelled();
+}
+
+// Guards against an ended job that stays live because the one read of its final
+// key is refused (review/2).
+TEST_P(JobListingTest, AJobThatAListingLacksHasEnded) {
+  const auto [source, news] = GetParam();
+  ASSERT_NO_FATAL_FAILURE(ReadRecordBefore(news, source));
+  ASSERT_NO_FATAL_FAILURE(Answer(record_request_));
+  ASSERT_TRUE(cache_.FindLiveJob(kJob));
+  state_.EndJob(kJob, FinalState::kCancelled);
+  int ended = 0;
+  cache_.on_job_ended = [&ended](const auto&...) { ++ended; };
+  ASSERT_NO_FATAL_FAILURE(Learn(news));
+  RefuseFinalKey();
+  EXPECT_FALSE(cache_.FindLiveJob(kJob));
+  EXPECT_EQ(ended, 1);
+  api_.Poll(kUserRequest + 1, kJob);
+  Answer("get " + keys::ForLiveJob(kJob));
+  AnswerFinalKey();
+  ExpectToldCancelled();
 }
 
 // Guards against a live job that is taken for an ended one.
@@ -233,27 +277,80 @@
   EXPECT_NE(answer_.body.find("queued"), std::string::npos) << answer_.body;
 }
 
+// A poll of a job that leaves the cache by a listing, at a controller whose
+// watch is too old.
+class PollOfAnEndedJob : public JobRecords {
+ protected:
+  void PollLiveJob() {
+    state_.SubmitJob(MakeJob(kJob));
+    LoadCache();
+    api_.Poll(kUserRequest, kJob);
+  }
+  void SendQuorumRead() {
+    context_.now += kStepS;
+    api_.Tick();
+  }
+  void EndJobAndList() {
+    state_.EndJob(kJob, FinalState::kCancelled);
+    ReloadCache();
+    RefuseFinalKey();
+  }
+};
+
+// Guards against "queued" as the answer to a poll that waited for its read when
+// the job left the cache.
+TEST_F(PollOfAnEndedJob, IsToldTheEndBeforeItsRead) {
+  ASSERT_NO_FATAL_FAILURE(PollLiveJob());
+  ASSERT_NO_FATAL_FAILURE(EndJobAndList());
+  SendQuorumRead();
+  AnswerFinalKey();
+  ExpectToldCancelled();
+}
+
+// Guards against "queued" as the answer to a poll whose read was carried out
+// before the end and answered after the job left the cache.
+TEST_F(PollOfAnEndedJob, IsToldTheEndAfterALateRead) {
+  ASSERT_NO_FATAL_FAILURE(PollLiveJob());
+  SendQuorumRead();
+  ASSERT_NO_FATAL_FAILURE(CarryOut("transact " + keys::ForLiveJob(kJob)));
+  ASSERT_NO_FATAL_FAILURE(EndJobAndList());
+  ASSERT_NO_FATAL_FAILURE(Answer("transact " + keys::ForLiveJob(kJob)));
+  AnswerFinalKey();
+  ExpectToldCancelled();
+}
+
 std::string CaseName(
     const ::testing::TestParamInfo<JobRecordsTest::ParamType>& test) {
-  static const char* const kSources[] = {"Poll", "Cancellation",
-                                         "RepeatedSubmission", "Submission",
-                                         "FailoverListing"};
-  static const char* const kNews[] = {"FirstListing", "Watch", "ManyEnds",
-                                      "ListingAfter410", "FailoverListing"};
-  return std::string(kSources[static_cast<int>(std::get<0>(test.param))]) +
-         "BeforeThe" + kNews[static_cast<int>(std::get<1>(test.param))];
+  static const char* const kSourceNames[] = {"Poll", "Cancellation",
+                                             "RepeatedSubmission", "Submission",
+                                             "FailoverListing"};
+  static const char* const kNewsNames[] = {"FirstListing", "Watch", "ManyEnds",
+                                           "ListingAfter410",
+                                           "FailoverListing"};
+  return std::string(kSourceNames[static_cast<int>(std::get<0>(test.param))]) +
+         "BeforeThe" + kNewsNames[static_cast<int>(std::get<1>(test.param))];
 }
 
+constexpr RecordSource kSources[] = {
+    RecordSource::kPoll, RecordSource::kCancellation,
+    RecordSource::kRepeatedSubmission, RecordSource::kSubmission,
+    RecordSource::kFailoverListing};
+
 INSTANTIATE_TEST_SUITE_P(
     EachOrder, JobRecordsTest,
-    ::testing::Combine(
-        ::testing::Values(RecordSource::kPoll, RecordSource::kCancellation,
-                          RecordSource::kRepeatedSubmission,
-                          RecordSource::kSubmission,
-                          RecordSource::kFailoverListing),
-        ::testing::Values(LaterNews::kFirstListing, LaterNews::kWatch,
-                          LaterNews::kManyEnds, LaterNews::kListingAfter410,
-                          LaterNews::kFailoverListing)),
+    ::testing::Combine(::testing::ValuesIn(kSources),
+                       ::testing::Values(LaterNews::kFirstListing,
+                                         LaterNews::kWatch,
+                                         LaterNews::kManyEnds,
+                                         LaterNews::kListingAfter410,
+                                         LaterNews::kFailoverListing)),
+    CaseName);
+INSTANTIATE_TEST_SUITE_P(
+    EachOrder, JobListingTest,
+    ::testing::Combine(::testing::ValuesIn(kSources),
+                       ::testing::Values(LaterNews::kFirstListing,
+                                         LaterNews::kListingAfter410,
+                                         LaterNews::kFailoverListing)),
     CaseName);
 
 }  // namespace
