Tests of late job records: real controllers, a simulated twin, random orders

- RestartTest (loopback, three real controllers): a leader ends and is back at once while its first listing is held; a job is read there and cancelled elsewhere.
Events decide the order, not times: the fake state service holds a request before it is carried out or before its answer.
- restart_with_late_reads and restart_with_refused_reads, the same in the simulated cluster.
- AnswerOrders: one controller, random orders of requests, answers, losses, refusals, 410s, restarts and changes of leader, then a takeover with late answers to reads; the leader's jobs must be the live keys.

--- a/tests/loopback/clients.cc
+++ b/tests/loopback/clients.cc
@@ -42,6 +42,8 @@
           {"due_s", nullptr}};
 }
 
+std::string JobPath(const std::string& id) { return "/submissions/" + id; }
+
 }  // namespace
 
 bool Clients::Submit(const JobRequest& request) {
@@ -58,8 +60,7 @@
 bool Clients::Cancel(const std::string& id) {
   const json empty = json::object();
   for (int attempt = 0; attempt < kSubmitAttempts; ++attempt) {
-    const int status =
-        SendRequest("/submissions/" + id + "/cancel", &empty).first;
+    const int status = SendRequest(JobPath(id) + "/cancel", &empty).first;
     if (status == 200) return true;
     std::this_thread::sleep_for(kSubmitRetryPause);
   }
@@ -67,14 +68,32 @@
 }
 
 std::string Clients::Status(const std::string& id) {
-  const auto [status, body] = SendRequest("/submissions/" + id, nullptr);
+  const auto [status, body] = SendRequest(JobPath(id), nullptr);
   return status == 200 ? body.value("status", "") : "";
 }
 
-std::pair<int, json> Clients::SendRequest(const std::string& path,
-                                          const json* body) {
+std::string Clients::StatusAt(int controller, const std::string& id) const {
+  const auto [status, body] =
+      SendRequestTo(static_cast<size_t>(controller), JobPath(id), nullptr);
+  return status == 200 ? body.value("status", "") : "";
+}
+
+bool Clients::CancelAt(int controller, const std::string& id) const {
+  const json empty = json::object();
+  const auto [status, body] = SendRequestTo(static_cast<size_t>(controller),
+                                            JobPath(id) + "/cancel", &empty);
+  return status == 200 && body.value("status", "") == "cancelled";
+}
+
+Clients::Response Clients::SendRequest(const std::string& path,
+                                       const json* body) {
+  return SendRequestTo(next_++ % controllers_->size(), path, body);
+}
+
+Clients::Response Clients::SendRequestTo(size_t index, const std::string& path,
+                                         const json* body) const {
   auto controller = controllers_->addresses().begin();
-  std::advance(controller, next_++ % controllers_->addresses().size());
+  std::advance(controller, index);
   Endpoint endpoint;
   ParseEndpoint(controller->second, &endpoint);
   httplib::Client client(endpoint.host, endpoint.port);
--- a/tests/loopback/clients.h
+++ b/tests/loopback/clients.h
@@ -34,12 +34,21 @@
   bool Cancel(const std::string& id);
   // Returns the job's status from the next controller, empty without an answer.
   std::string Status(const std::string& id);
+  // The same from the controller of this index.
+  std::string StatusAt(int controller, const std::string& id) const;
+  // Sends the cancellation to this controller, once. Returns whether it was
+  // confirmed.
+  bool CancelAt(int controller, const std::string& id) const;
 
  private:
+  using Response = std::pair<int, nlohmann::json>;
+
+  // Sends the request to the next controller.
+  Response SendRequest(const std::string& path, const nlohmann::json* body);
   // Returns status and body of the response; 0 without a response. A null
   // `body` sends GET.
-  std::pair<int, nlohmann::json> SendRequest(const std::string& path,
-                                             const nlohmann::json* body);
+  Response SendRequestTo(size_t controller, const std::string& path,
+                         const nlohmann::json* body) const;
 
   const Controllers* controllers_;
   TaskProgress* progress_;
--- a/tests/loopback/fake_state_service.cc
+++ b/tests/loopback/fake_state_service.cc
@@ -14,6 +14,7 @@
 constexpr size_t kServerThreads = 96;
 constexpr size_t kMaxRequestsPerConnection = 1000000;
 constexpr int kKeepAliveTimeoutS = 60;
+constexpr int kTooManyRequests = 429;
 
 void SendJson(httplib::Response& response, int status, const json& body) {
   response.status = status;
@@ -51,6 +52,15 @@
 void FakeStateService::RegisterRoutes() {
   using Request = httplib::Request;
   using Response = httplib::Response;
+  server_.set_pre_routing_handler([this](const Request& q, Response& r) {
+    if (rules_.BeforeExecution(q.target))
+      return httplib::Server::HandlerResponse::Unhandled;
+    SendJson(r, kTooManyRequests, json::object());
+    return httplib::Server::HandlerResponse::Handled;
+  });
+  server_.set_post_routing_handler([this](const Request& q, Response& r) {
+    if (r.status != kTooManyRequests) rules_.BeforeAnswer(q.target);
+  });
   server_.Get("/keys", [this](const Request& q, Response& r) { List(q, r); });
   server_.Get(R"(/keys/(.+))",
               [this](const Request& q, Response& r) { Get(q, r); });
@@ -197,6 +207,10 @@
     changes = ChangesAfter(prefix, after);
   }
   SendJson(response, 200, {{"epoch", revision_}, {"news", changes}});
+  lock.unlock();
+  if (!changes.empty())
+    std::this_thread::sleep_for(
+        std::chrono::duration<double>(watch_delay_s_.load()));
 }
 
 }  // namespace sorrelwood::test
--- a/tests/loopback/fake_state_service.h
+++ b/tests/loopback/fake_state_service.h
@@ -4,6 +4,7 @@
 
 #include <httplib.h>
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <map>
@@ -13,6 +14,8 @@
 #include <thread>
 #include <vector>
 
+#include "loopback/request_rules.h"
+
 namespace sorrelwood::test {
 
 class FakeStateService {
@@ -21,6 +24,11 @@
   ~FakeStateService();
   int port() const { return port_; }
 
+  // Which requests are held or refused.
+  RequestRules& rules() { return rules_; }
+  // Answers watches that have changes later by this time (s).
+  void SetWatchDelay(double delay_s) { watch_delay_s_ = delay_s; }
+
  private:
   struct Entry {
     nlohmann::json data;
@@ -45,6 +53,8 @@
   void ExpireLeases();
   nlohmann::json ChangesAfter(const std::string& prefix, uint64_t after) const;
 
+  RequestRules rules_;
+  std::atomic<double> watch_delay_s_{0};
   httplib::Server server_;
   int port_ = 0;
   std::thread server_thread_;
--- a/tests/loopback/loopback_cluster.h
+++ b/tests/loopback/loopback_cluster.h
@@ -33,6 +33,7 @@
   const ExecutionHistory& history() const { return history_; }
   const FakeCloud& cloud() const { return cloud_; }
   ZoneCut& zone_cut() { return zone_cut_; }
+  FakeStateService& state() { return state_; }
 
  private:
   ZoneCut zone_cut_;
--- a/tests/manual_state_service.h
+++ b/tests/manual_state_service.h
@@ -66,11 +66,16 @@
   // Removes the request and returns its answer.
   StateResult TakeAnswer(Request* request) {
     CarryOut(request);
-    const StateResult result = *request->result;
-    requests_.remove_if([request](const Request& r) { return &r == request; });
+    StateResult result = *request->result;
+    Drop(request);
     return result;
   }
 
+  // Removes the request, which is then never carried out.
+  void Drop(Request* request) {
+    requests_.remove_if([request](const Request& r) { return &r == request; });
+  }
+
   // Commits by other controllers.
   void SubmitJob(const LiveJob& job) {
     ++revision_;
--- a/tests/simulation/clients.cc
+++ b/tests/simulation/clients.cc
@@ -249,6 +249,30 @@
   for (Worker* worker : holders) worker->hung_until_s = cluster_.now() + hang_s;
 }
 
+void SimulatedClients::PollAt(int controller, const std::string& id) {
+  Send(controller, Kind::kPoll, Get(id).spec, NewRequest(id, Kind::kPoll));
+}
+
+void SimulatedClients::CancelAt(int controller, const std::string& id) {
+  ClientJob& job = Get(id);
+  job.cancel_requested = true;
+  Send(controller, Kind::kCancel, job.spec, NewRequest(id, Kind::kCancel));
+}
+
+std::vector<std::string> SimulatedClients::FindRunningJobs(size_t count) {
+  std::set<std::string> running;
+  for (const auto& [name, worker] : cluster_.workers().all()) {
+    if (!worker->up) continue;
+    for (const auto& [id, task] : worker->tasks) {
+      const ClientJob& job = Get(id.job);
+      if (task.state == TaskState::kRunning && running.size() < count &&
+          !job.final_state_reported && !job.cancel_requested)
+        running.insert(id.job);
+    }
+  }
+  return {running.begin(), running.end()};
+}
+
 double SimulatedClients::MeanJobTime() const {
   double sum_s = 0;
   double count = 0;
--- a/tests/simulation/clients.h
+++ b/tests/simulation/clients.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/interval_set.h"
 #include "core/engine/actions.h"
@@ -69,6 +70,11 @@
                     double cancel_at_s = 0);
   // Cancels the job, with retries until a final state is reported.
   void Cancel(const std::string& id);
+  // Polls the job, or cancels it, once, at this controller.
+  void PollAt(int controller, const std::string& id);
+  void CancelAt(int controller, const std::string& id);
+  // Up to `count` jobs with running tasks that no client has cancelled.
+  std::vector<std::string> FindRunningJobs(size_t count);
   // Cancels up to `count` running jobs; if `hang_s` is not 0, machines that run
   // them hang for this duration.
   void CancelRunningJobs(size_t count, double hang_s);
--- a/tests/simulation/controllers.h
+++ b/tests/simulation/controllers.h
@@ -38,6 +38,12 @@
   double partitioned_from_peers_until_s = 0;
   double partitioned_until_s = 0;
   double paused_until_s = 0;
+
+  // Requests to the state service that the injected faults delay or refuse.
+  bool next_job_listing_late = false;
+  double job_reads_late_until_s = 0;
+  double final_reads_refused_until_s = 0;
+  double watches_late_until_s = 0;
 };
 
 class SimulatedControllers {
--- a/tests/simulation/fault_injector.cc
+++ b/tests/simulation/fault_injector.cc
@@ -89,6 +89,8 @@
     {FaultKind::kLeaderCrash, &FaultInjector::CrashLeader},
     {FaultKind::kFollowerCrash, &FaultInjector::CrashFollower},
     {FaultKind::kLeaderZoneCutWithGap, &FaultInjector::CutLeaderZone},
+    {FaultKind::kLeaderRestartWithLateReads, &FaultInjector::RestartLeader},
+    {FaultKind::kLeaderRestartWithRefusedReads, &FaultInjector::RestartLeader},
     {FaultKind::kAllControllersCrash, &FaultInjector::CrashAllControllers},
     {FaultKind::kAllControllersPause, &FaultInjector::PauseAllControllers},
     {FaultKind::kStateServiceOutage, &FaultInjector::BeginStateOutage},
@@ -200,6 +202,10 @@
   zone_cut_.Begin(fault, targets.leader);
 }
 
+void FaultInjector::RestartLeader(const Fault& fault, const Targets& targets) {
+  leader_restart_.Begin(fault, targets.leader);
+}
+
 void FaultInjector::CrashAllControllers(const Fault& fault, const Targets&) {
   for (int i = 0; i < cluster_.controllers().size(); ++i)
     cluster_.controllers().Crash(i, fault.restart_s);
--- a/tests/simulation/fault_injector.h
+++ b/tests/simulation/fault_injector.h
@@ -3,6 +3,7 @@
 
 #include <vector>
 
+#include "simulation/leader_restart.h"
 #include "simulation/options.h"
 #include "simulation/zone_cut.h"
 
@@ -15,7 +16,7 @@
 class FaultInjector {
  public:
   explicit FaultInjector(SimulatedCluster& cluster)
-      : cluster_(cluster), zone_cut_(cluster) {}
+      : cluster_(cluster), leader_restart_(cluster), zone_cut_(cluster) {}
 
   void Inject(const Fault& fault);
 
@@ -50,6 +51,7 @@
   void CrashLeader(const Fault& fault, const Targets& targets);
   void CrashFollower(const Fault& fault, const Targets& targets);
   void CutLeaderZone(const Fault& fault, const Targets& targets);
+  void RestartLeader(const Fault& fault, const Targets& targets);
   void CrashAllControllers(const Fault& fault, const Targets& targets);
   void PauseAllControllers(const Fault& fault, const Targets& targets);
   void BeginStateOutage(const Fault& fault, const Targets& targets);
@@ -62,6 +64,7 @@
   void SendUnusualRequests(const Fault& fault, const Targets& targets);
 
   SimulatedCluster& cluster_;
+  LeaderRestart leader_restart_;
   ZoneCut zone_cut_;
 };
 
--- a/tests/simulation/options.h
+++ b/tests/simulation/options.h
@@ -43,6 +43,15 @@
   // leader receives and answers a heartbeat of each worker of that zone.
   kLeaderZoneCutWithGap,
 
+  // The leader crashes and is back at once. Its new process reads `count`
+  // running jobs for clients, which are then cancelled through another
+  // controller before the process gets its listing of the jobs. The answers to
+  // these reads arrive after it leads again.
+  kLeaderRestartWithLateReads,
+  // The same, but the reads are answered at once, and reads of final keys are
+  // refused.
+  kLeaderRestartWithRefusedReads,
+
   kStateServiceOutage,
   kStateServiceSlow,
   // `share` of the transactions is executed 2 to 12 s late, without response.
--- a/tests/simulation/scenarios/basic_scenarios.cc
+++ b/tests/simulation/scenarios/basic_scenarios.cc
@@ -250,6 +250,30 @@
   table.last().options.policy.speculation_limit_s = 900;
 }
 
+// The leader restarts while jobs are cancelled.
+void AddRestartFaults(ScenarioTable& table) {
+  table.Add("restart_with_late_reads",
+            "A read of a job that was carried out before its cancellation "
+            "brings it back at a leader that has restarted.",
+            ExpectedProgress::kSomeJobs,
+            {{.at_s = 50,
+              .kind = kLeaderRestartWithLateReads,
+              .for_s = 5,
+              .count = 4}});
+  table.last().options.run_time_factor = 5;
+  table.last().options.policy.speculation_limit_s = 900;
+  table.Add("restart_with_refused_reads",
+            "A job that the listing lacks stays live at a leader that has "
+            "restarted, because the read of its final key is refused.",
+            ExpectedProgress::kSomeJobs,
+            {{.at_s = 50,
+              .kind = kLeaderRestartWithRefusedReads,
+              .for_s = 60,
+              .count = 4}});
+  table.last().options.run_time_factor = 5;
+  table.last().options.policy.speculation_limit_s = 900;
+}
+
 // Machines crash, hang, or are partitioned.
 void AddMachineFaults(ScenarioTable& table) {
   table.Add(
@@ -440,6 +464,7 @@
   AddControllerPartitions(table);
   AddStateServiceFaults(table);
   AddZonePartitions(table);
+  AddRestartFaults(table);
   AddMachineFaults(table);
   AddCloudFaults(table);
   AddUnusualWorkloads(table);
--- a/tests/simulation/state_network.cc
+++ b/tests/simulation/state_network.cc
@@ -1,7 +1,10 @@
 #include "simulation/state_network.h"
 
 #include <algorithm>
+#include <string>
+#include <utility>
 
+#include "core/coordination/keys.h"
 #include "simulation/simulated_cluster.h"
 
 namespace sorrelwood::test {
@@ -12,9 +15,29 @@
 // The time that the service waits for a change, with the client's allowance
 // (s).
 constexpr double kWatchTimeoutS = 2;
+// Delays of single requests (s): shorter than the time-out, and in this order,
+// so that a late read arrives after a late listing and an election.
+constexpr double kLateWatchS = 0.15;
+constexpr double kLateListingS = 0.3;
+constexpr double kLateReadS = 1.2;
+
+bool StartsWith(const std::string& text, const std::string& prefix) {
+  return text.compare(0, prefix.size(), prefix) == 0;
+}
 
 }  // namespace
 
+StateNetwork::CallKind StateNetwork::KindOf(const StateList& request) {
+  return request.prefix == keys::kLivePrefix ? CallKind::kJobListing
+                                             : CallKind::kOther;
+}
+
+StateNetwork::CallKind StateNetwork::KindOf(const StateGet& request) {
+  if (StartsWith(request.key, keys::kLivePrefix)) return CallKind::kJobRead;
+  if (StartsWith(request.key, keys::kFinalPrefix)) return CallKind::kFinalRead;
+  return CallKind::kOther;
+}
+
 StateResult StateNetwork::Serve(const StateTransaction& request) {
   return cluster_.state_service().Serve(request);
 }
@@ -37,6 +60,27 @@
              cluster_.controllers().process(controller).state_refused_until_s;
 }
 
+bool StateNetwork::RefusesCall(int controller, const Call& call) const {
+  const ControllerProcess& process = cluster_.controllers().process(controller);
+  return Refuses(controller) ||
+         (call.kind == CallKind::kFinalRead &&
+          cluster_.now() < process.final_reads_refused_until_s);
+}
+
+double StateNetwork::ExecutionDelay(int controller, const Call& call) {
+  ControllerProcess& process = cluster_.controllers().process(controller);
+  if (call.kind != CallKind::kJobListing) return 0;
+  return std::exchange(process.next_job_listing_late, false) ? kLateListingS
+                                                             : 0;
+}
+
+double StateNetwork::AnswerDelay(int controller, const Call& call) const {
+  const ControllerProcess& process = cluster_.controllers().process(controller);
+  const bool late = call.kind == CallKind::kJobRead &&
+                    cluster_.now() < process.job_reads_late_until_s;
+  return late ? kLateReadS : 0;
+}
+
 void StateNetwork::SendCall(int controller, const Call& call) {
   const SimulationOptions& options = cluster_.options();
   RandomSource& random = cluster_.random();
@@ -49,7 +93,7 @@
   }
   const bool lost = random.Chance(options.loss_probability);
   bool answer_lost = random.Chance(options.loss_probability);
-  if (call.is_transaction) {
+  if (call.kind == CallKind::kTransaction) {
     if (cluster_.DrawHit(cluster_.faults().late_transactions)) {
       ServeAfterTimeout(client, call,
                         cluster_.now() + 2 + 10 * random.Uniform());
@@ -63,7 +107,7 @@
     cluster_.events().After(
         0.5 + 30 * random.Uniform(),
         [this, controller, call] { ServeUnlessRefused(controller, call); });
-  const double latency_s = DrawLatency();
+  const double latency_s = DrawLatency() + ExecutionDelay(controller, call);
   if (latency_s > kTimeoutS) {
     ServeAfterTimeout(client, call, cluster_.now() + latency_s);
     return;
@@ -104,7 +148,7 @@
 void StateNetwork::Arrive(ProcessId client, const Call& call, bool lost,
                           bool answer_lost) {
   StateResult result;  // its default outcome is kUnknown
-  if (!lost && Refuses(client.controller)) {
+  if (!lost && RefusesCall(client.controller, call)) {
     result.outcome = Outcome::kRefused;
   } else if (!lost) {
     result = call.serve();
@@ -113,11 +157,13 @@
   }
   result.id = call.id;
   const bool unanswered = result.outcome == Outcome::kUnknown;
-  cluster_.events().After(
-      unanswered ? kTimeoutS : cluster_.DrawNetworkLatency(),
-      [this, client, result] {
-        cluster_.controllers().DeliverResult(client, result);
-      });
+  cluster_.events().After(unanswered ? kTimeoutS
+                                     : cluster_.DrawNetworkLatency() +
+                                           AnswerDelay(client.controller, call),
+                          [this, client, result] {
+                            cluster_.controllers().DeliverResult(client,
+                                                                 result);
+                          });
 }
 
 void StateNetwork::Watch(int controller, const StateWatch& watch) {
@@ -166,8 +212,11 @@
     }
     watchers_.erase(watchers_.begin() + static_cast<ptrdiff_t>(i));
     const double latency_s = cluster_.DrawNetworkLatency();
-    const double delay_s =
+    double delay_s =
         cluster_.options().max_watch_delay_s * cluster_.random().Uniform();
+    if (cluster_.now() <
+        cluster_.controllers().process(process.controller).watches_late_until_s)
+      delay_s += kLateWatchS;
     cluster_.events().After(latency_s + delay_s, [this, process, result] {
       cluster_.controllers().DeliverResult(process, result);
     });
--- a/tests/simulation/state_network.h
+++ b/tests/simulation/state_network.h
@@ -21,7 +21,7 @@
   // Sends a request of the controller's current process.
   template <typename Request>
   void Send(int controller, const Request& request) {
-    SendCall(controller, {request.id, std::is_same_v<Request, StateTransaction>,
+    SendCall(controller, {request.id, KindOf(request),
                           [this, request] { return Serve(request); }});
   }
   void Watch(int controller, const StateWatch& watch);
@@ -30,10 +30,17 @@
   void ExpireLeases();
 
  private:
+  enum class CallKind {
+    kTransaction,
+    kJobListing,
+    kJobRead,    // of a live key
+    kFinalRead,  // of a final key
+    kOther,
+  };
   // A request of any kind.
   struct Call {
     uint64_t id = 0;
-    bool is_transaction = false;
+    CallKind kind = CallKind::kOther;
     std::function<StateResult()> serve;
   };
   struct Watcher {
@@ -41,6 +48,16 @@
     StateWatch watch;
   };
 
+  template <typename Request>
+  static CallKind KindOf(const Request&) {
+    return CallKind::kOther;
+  }
+  static CallKind KindOf(const StateTransaction&) {
+    return CallKind::kTransaction;
+  }
+  static CallKind KindOf(const StateList& request);
+  static CallKind KindOf(const StateGet& request);
+
   StateResult Serve(const StateTransaction& request);
   StateResult Serve(const StateGet& request);
   StateResult Serve(const StateList& request);
@@ -52,10 +69,15 @@
   void ServeAfterTimeout(ProcessId client, const Call& call, double at_s);
   void ServeUnlessRefused(int controller, const Call& call);
   void Arrive(ProcessId client, const Call& call, bool lost, bool answer_lost);
+  // How much later than usual the call is carried out (s).
+  double ExecutionDelay(int controller, const Call& call);
+  // How much later than usual the answer arrives (s).
+  double AnswerDelay(int controller, const Call& call) const;
   // Draws the latency (s) of a request.
   double DrawLatency();
-  // Whether the service refuses the controller's requests.
+  // Whether the service refuses the controller's requests, or this one.
   bool Refuses(int controller) const;
+  bool RefusesCall(int controller, const Call& call) const;
   void TimeOutWatch(const Watcher& watcher);
   // Answers the watches that have changes.
   void AnswerWatchers();
