--- a/src/core/controller/controller.cc
+++ b/src/core/controller/controller.cc
@@ -117,10 +117,10 @@
     return response;
   }
   response.status = kMisdirectedRequest;
-  const bool leader_present =
-      job_cache_.leader_known() && job_cache_.leader_version() != 0;
-  if (leader_present && job_cache_.leader().node != settings_.node)
-    response.redirect = job_cache_.leader().node;
+  const LeaderKey& leader_key = job_cache_.leader_key();
+  const bool leader_present = leader_key.known() && leader_key.version() != 0;
+  if (leader_present && leader_key.record().node != settings_.node)
+    response.redirect = leader_key.record().node;
   return response;
 }
 
--- a/src/core/coordination/job_cache.cc
+++ b/src/core/coordination/job_cache.cc
@@ -47,10 +47,10 @@
                   !leader_result.items.empty()) {
                 const KeyValue& item = leader_result.items[0];
                 if (const auto leader = protocol::ParseLeaderRecord(item.value))
-                  ApplyLeader(item.version, *leader, item.version);
+                  leader_key_.Apply(item.version, *leader, item.version);
               } else if (leader_result.outcome == Outcome::kConflict) {
                 // The leader key is absent.
-                ApplyLeader(0, LeaderRecord(), revision);
+                leader_key_.ApplyAbsence(revision);
               } else {
                 retry_at_ = context_->now + kLoadRetryS;
                 return;
@@ -90,9 +90,9 @@
 void JobCache::ApplyChange(const KeyValue& change) {
   if (change.key == keys::kLeader) {
     if (change.removed)
-      ApplyLeader(0, LeaderRecord(), change.version);
+      leader_key_.ApplyAbsence(change.version);
     else if (const auto leader = protocol::ParseLeaderRecord(change.value))
-      ApplyLeader(change.version, *leader, change.version);
+      leader_key_.Apply(change.version, *leader, change.version);
     return;
   }
   if (const std::string id = keys::StripPrefix(change.key, keys::kLivePrefix);
@@ -191,13 +191,4 @@
   complete_revision_ = std::max(complete_revision_, listing.revision);
 }
 
-void JobCache::ApplyLeader(uint64_t version, const LeaderRecord& leader,
-                           uint64_t revision) {
-  if (leader_known_ && revision < leader_revision_) return;
-  leader_known_ = true;
-  leader_version_ = version;
-  leader_revision_ = revision;
-  leader_ = leader;
-}
-
 }  // namespace sorrelwood
--- a/src/core/coordination/job_cache.h
+++ b/src/core/coordination/job_cache.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "core/coordination/leader_key.h"
 #include "core/engine/context.h"
 
 namespace sorrelwood {
@@ -68,14 +69,8 @@
   // asks.
   void ApplyListing(const StateResult& listing);
 
-  // The leader key as last seen. A version of 0 means that the key is absent.
-  bool leader_known() const { return leader_known_; }
-  uint64_t leader_version() const { return leader_version_; }
-  const LeaderRecord& leader() const { return leader_; }
-  // Called after the leader key was read or changed, as of `revision`.
-  // `version` is 0 if the key is absent.
-  void ApplyLeader(uint64_t version, const LeaderRecord& leader,
-                   uint64_t revision);
+  LeaderKey& leader_key() { return leader_key_; }
+  const LeaderKey& leader_key() const { return leader_key_; }
 
   // Called for each new live job, and for each job that ends, possibly a second
   // time when its final state becomes known.
@@ -105,10 +100,7 @@
   // Above `revision_` after a listing that the watch has not caught up with.
   uint64_t complete_revision_ = 0;
   double synced_at_ = -1e9;  // steady clock, s; -1e9: never synced
-  bool leader_known_ = false;
-  uint64_t leader_version_ = 0;
-  uint64_t leader_revision_ = 0;  // leader updates older than this are ignored
-  LeaderRecord leader_;
+  LeaderKey leader_key_;
 };
 
 }  // namespace sorrelwood
--- a/src/core/coordination/leader_election.cc
+++ b/src/core/coordination/leader_election.cc
@@ -67,14 +67,14 @@
                      {{/*remove=*/true, keys::kLeader, "", 0}},
                      [this](const StateResult& result) {
                        if (result.outcome == Outcome::kOk)
-                         job_cache_->ApplyLeader(0, LeaderRecord(),
-                                                 result.revision);
+                         job_cache_->leader_key().ApplyAbsence(result.revision);
                      });
 }
 
 void LeaderElection::Tick() {
-  if (job_cache_->leader_known())
-    highest_term_ = std::max(highest_term_, job_cache_->leader().term);
+  const LeaderKey& leader_key = job_cache_->leader_key();
+  if (leader_key.known())
+    highest_term_ = std::max(highest_term_, leader_key.record().term);
   if (leading_) {
     if (!HoldsLeaderKey()) {
       StepDown("the leader key has changed");
@@ -83,7 +83,7 @@
     RenewLeaderLease();
     return;
   }
-  if (!job_cache_->leader_known() || job_cache_->leader_version() != 0)
+  if (!leader_key.known() || leader_key.version() != 0)
     leader_absent_since_ = 0;
   else if (leader_absent_since_ == 0)
     leader_absent_since_ = context_->now;
@@ -95,23 +95,22 @@
   if (leader_absent_since_ > 0 && context_->now < next_resignation_at_ &&
       context_->now < leader_absent_since_ + kResignedElectionDelayS)
     return;
-  if (job_cache_->leader_version() == 0)
+  if (leader_key.version() == 0)
     StartElection();
-  else if (job_cache_->leader().node == node_)
+  else if (leader_key.record().node == node_)
     RemoveOwnStaleLeaderKey();
 }
 
 void LeaderElection::RemoveOwnStaleLeaderKey() {
   election_in_flight_ = true;
   context_->Transact(StateConnection::kLeaseRenewal,
-                     {{keys::kLeader, job_cache_->leader_version()}},
+                     {{keys::kLeader, job_cache_->leader_key().version()}},
                      {{/*remove=*/true, keys::kLeader, "", 0}},
                      [this](const StateResult& result) {
                        election_in_flight_ = false;
                        retry_at_ = context_->now + kElectionRetryS;
                        if (result.outcome == Outcome::kOk) {
-                         job_cache_->ApplyLeader(0, LeaderRecord(),
-                                                 result.revision);
+                         job_cache_->leader_key().ApplyAbsence(result.revision);
                          retry_at_ = 0;
                        }
                      });
@@ -178,8 +177,8 @@
               lease_confirmed_at_ = lease_sent_at;
               next_renewal_at_ = context_->now;
               renewal_in_flight_ = renewal_refused_ = false;
-              job_cache_->ApplyLeader(leader_key_version_, record,
-                                      result.revision);
+              job_cache_->leader_key().Apply(leader_key_version_, record,
+                                             result.revision);
               context_->Info("leadership acquired", {{"term", term_}});
               if (on_leadership_acquired) on_leadership_acquired();
             });
--- a/src/core/coordination/leader_election.h
+++ b/src/core/coordination/leader_election.h
@@ -25,7 +25,8 @@
   // When a watch reports that the key is lost, this is false at once, before
   // the next Tick() steps down.
   bool HoldsLeaderKey() const {
-    return leading_ && job_cache_->leader_version() == leader_key_version_;
+    return leading_ &&
+           job_cache_->leader_key().version() == leader_key_version_;
   }
   uint64_t term() const { return term_; }
   uint64_t highest_term() const { return highest_term_; }
--- a/tests/answer_orders_test.cc
+++ b/tests/answer_orders_test.cc
@@ -17,6 +17,7 @@
 
 #include "base/constants.h"
 #include "core/controller/controller.h"
+#include "make_job.h"
 #include "manual_state_service.h"
 
 namespace sorrelwood::test {
@@ -215,7 +216,7 @@
   void SubmitElsewhere() {
     const std::string id = "job-" + std::to_string(100000 + jobs_.size());
     jobs_[id].accepted = true;
-    state_.SubmitJob(MakeJob(id));
+    state_.SubmitJob(MakeSmallJob(id));
   }
   void EndElsewhere() {
     const std::set<std::string> live = LiveJobs();
@@ -237,7 +238,8 @@
     switch (Draw(4)) {
       case 0: return Handle(controller_->Cancel(Time(), request, id));
       case 1:
-        return Handle(controller_->Submit(Time(), request, MakeJob(id).spec));
+        return Handle(
+            controller_->Submit(Time(), request, MakeSmallJob(id).spec));
       default: return Handle(controller_->Poll(Time(), request, id));
     }
   }
@@ -259,18 +261,6 @@
       state_.SetLeader({kOtherNode, ++other_term_});
   }
 
-  static LiveJob MakeJob(const std::string& id) {
-    LiveJob job;
-    job.spec.id = id;
-    job.spec.job_class = "class";
-    job.spec.team = "team";
-    job.spec.tasks = 1;
-    job.spec.cpus = 1;
-    job.spec.memory_gb = 1;
-    job.spec.estimate_s = 30;
-    return job;
-  }
-
   void Deliver(const StateResult& result) {
     Handle(controller_->Deliver(Time(), result));
   }
--- a/tests/job_records_test.cc
+++ b/tests/job_records_test.cc
@@ -10,6 +10,7 @@
 #include "core/api/job_api.h"
 #include "core/coordination/job_cache.h"
 #include "core/coordination/state_limits.h"
+#include "make_job.h"
 #include "manual_state_service.h"
 
 namespace sorrelwood::test {
@@ -40,18 +41,6 @@
   kFailoverListing,  // before the watch shows the end of the job
 };
 
-LiveJob MakeJob(const std::string& id) {
-  LiveJob job;
-  job.spec.id = id;
-  job.spec.job_class = "class";
-  job.spec.team = "team";
-  job.spec.tasks = 1;
-  job.spec.cpus = 1;
-  job.spec.memory_gb = 1;
-  job.spec.estimate_s = 30;
-  return job;
-}
-
 // The job cache and the job API of one controller.
 class JobRecords : public ::testing::Test {
  protected:
@@ -112,12 +101,12 @@
         CarryOut(record_request_ = "get " + live_key);
         return;
       case RecordSource::kRepeatedSubmission:
-        api_.Submit(kUserRequest, MakeJob(kJob).spec);
+        api_.Submit(kUserRequest, MakeSmallJob(kJob).spec);
         Answer("transact " + live_key);
         CarryOut(record_request_ = "get " + live_key);
         return;
       case RecordSource::kSubmission:
-        api_.Submit(kUserRequest, MakeJob(kJob).spec);
+        api_.Submit(kUserRequest, MakeSmallJob(kJob).spec);
         CarryOut(record_request_ = "transact " + live_key);
         return;
       case RecordSource::kFailoverListing:
@@ -131,7 +120,8 @@
   // listing is the later news.
   void ReadRecordBefore(LaterNews news, RecordSource source) {
     if (news != LaterNews::kFirstListing) LoadCache();
-    if (source != RecordSource::kSubmission) state_.SubmitJob(MakeJob(kJob));
+    if (source != RecordSource::kSubmission)
+      state_.SubmitJob(MakeSmallJob(kJob));
     ReadRecord(source);
   }
 
@@ -150,7 +140,7 @@
   void LearnManyEnds() {
     for (size_t i = 0; i <= kFinalStateCacheJobs; ++i) {
       const std::string id = "job-1" + std::to_string(100000 + i);
-      state_.SubmitJob(MakeJob(id));
+      state_.SubmitJob(MakeSmallJob(id));
       state_.EndJob(id, FinalState::kDone);
     }
     Answer("watch");
@@ -282,7 +272,7 @@
 class PollOfAnEndedJob : public JobRecords {
  protected:
   void PollLiveJob() {
-    state_.SubmitJob(MakeJob(kJob));
+    state_.SubmitJob(MakeSmallJob(kJob));
     LoadCache();
     api_.Poll(kUserRequest, kJob);
   }
--- a/tests/loopback/execution_history.cc
+++ b/tests/loopback/execution_history.cc
@@ -4,6 +4,13 @@
 #include <chrono>
 
 namespace sorrelwood::test {
+namespace {
+
+bool IsTaskOf(const ExecutionEvent& event, const std::string& job) {
+  return event.task.rfind(job + "/", 0) == 0;
+}
+
+}  // namespace
 
 double Now() {
   return std::chrono::duration<double>(
@@ -56,6 +63,22 @@
                     [](const ExecutionEvent& event) { return event.starts; }));
 }
 
+size_t ExecutionHistory::CountStartsOf(const std::string& job) const {
+  std::lock_guard lock(mutex_);
+  return static_cast<size_t>(std::count_if(
+      events_.begin(), events_.end(), [&](const ExecutionEvent& event) {
+        return event.starts && IsTaskOf(event, job);
+      }));
+}
+
+int ExecutionHistory::CountPresent(const std::string& job) const {
+  std::lock_guard lock(mutex_);
+  int present = 0;
+  for (const ExecutionEvent& event : events_)
+    if (IsTaskOf(event, job)) present += event.starts ? 1 : -1;
+  return present;
+}
+
 std::vector<ExecutionEvent> ExecutionHistory::events() const {
   std::lock_guard lock(mutex_);
   return events_;
--- a/tests/loopback/execution_history.h
+++ b/tests/loopback/execution_history.h
@@ -31,6 +31,9 @@
   // Describes each task that was on two machines at once, with both machines.
   std::vector<std::string> FindConcurrentExecutions() const;
   size_t CountStarts() const;
+  // Tasks of the job that were started, and that are on a machine now.
+  size_t CountStartsOf(const std::string& job) const;
+  int CountPresent(const std::string& job) const;
   std::vector<ExecutionEvent> events() const;
   // Number of tasks now on each machine.
   std::map<std::string, int> CountTasksByMachine() const;
--- a/tests/loopback/loopback_cluster.h
+++ b/tests/loopback/loopback_cluster.h
@@ -17,6 +17,16 @@
 
 void Sleep(double seconds);
 
+// Returns whether the condition holds within the timeout; checks it every
+// `interval_s`.
+template <typename Condition>
+bool WaitFor(double timeout_s, Condition condition, double interval_s = 0.1) {
+  for (const double deadline_s = Now() + timeout_s; Now() < deadline_s;
+       Sleep(interval_s))
+    if (condition()) return true;
+  return false;
+}
+
 class LoopbackCluster {
  public:
   // The cloud provisions at most `machines` machines at once.
--- a/tests/loopback/restart_test.cc
+++ b/tests/loopback/restart_test.cc
@@ -18,6 +18,7 @@
 // before that.
 constexpr double kMaxHoldS = 1.5;
 constexpr double kWatchDelayS = 0.15;
+constexpr double kPollIntervalS = 0.01;
 // An attempt counts only if the machine was fast enough for it.
 constexpr int kAttempts = 4;
 
@@ -29,14 +30,6 @@
     .operator_settings = "fleet { hold_s: 120 drain_s: 5 base_share: 0 }",
     .cancel_deadline_s = kCancelDeadlineS};
 
-template <typename Condition>
-bool WaitFor(double timeout_s, Condition condition) {
-  for (const double deadline_s = Now() + timeout_s; Now() < deadline_s;
-       Sleep(0.01))
-    if (condition()) return true;
-  return false;
-}
-
 class RestartTest : public ::testing::Test {
  protected:
   void SetUp() override {
@@ -46,7 +39,9 @@
 
   void StartJob(const std::string& job) {
     ASSERT_TRUE(cluster_.clients().Submit({job, "hot", 3, kRunS}));
-    ASSERT_TRUE(WaitFor(30, [&] { return CountPresent(job) == 3; })) << job;
+    ASSERT_TRUE(WaitFor(30, [&] {
+      return cluster_.history().CountPresent(job) == 3;
+    })) << job;
   }
 
   // Ends the leader, starts it again at once, and holds its first listing of
@@ -62,42 +57,41 @@
   // Polls the job at the restarted leader until there is an answer.
   std::string PollUntilAnswered(const std::string& job) {
     std::string status;
-    WaitFor(5, [&] {
-      status = cluster_.clients().StatusAt(leader_, job);
-      return !status.empty();
-    });
+    WaitFor(
+        5,
+        [&] {
+          status = cluster_.clients().StatusAt(leader_, job);
+          return !status.empty();
+        },
+        kPollIntervalS);
     return status;
   }
 
   // Cancels the job at another controller. Returns when that was confirmed.
   double Cancel(const std::string& job) {
     const int other = (leader_ + 1) % static_cast<int>(kControllers.count);
-    const bool confirmed =
-        WaitFor(5, [&] { return cluster_.clients().CancelAt(other, job); });
+    const bool confirmed = WaitFor(
+        5, [&] { return cluster_.clients().CancelAt(other, job); },
+        kPollIntervalS);
     EXPECT_TRUE(confirmed);
     return Now();
   }
 
   bool WaitUntilRecordsAreRead() {
-    const bool read = WaitFor(kMaxHoldS, [&] {
-      return rules().CountExecuted(kLastRecordListing) > record_listings_;
-    });
+    const bool read = WaitFor(
+        kMaxHoldS,
+        [&] {
+          return rules().CountExecuted(kLastRecordListing) > record_listings_;
+        },
+        kPollIntervalS);
     // The answer of the last listing is on its way.
     Sleep(0.05);
     return read;
   }
 
-  // The job's tasks that are on a machine.
-  int CountPresent(const std::string& job) const {
-    int present = 0;
-    for (const ExecutionEvent& event : cluster_.history().events())
-      if (event.task.rfind(job + "/", 0) == 0) present += event.starts ? 1 : -1;
-    return present;
-  }
-
   void ExpectGone(const std::string& job, double cancelled_s) {
     Sleep(cancelled_s + kCancelDeadlineS - Now());
-    EXPECT_EQ(CountPresent(job), 0);
+    EXPECT_EQ(cluster_.history().CountPresent(job), 0);
     for (int i = 0; i < kControllers.count; ++i)
       EXPECT_EQ(cluster_.clients().StatusAt(i, job), "cancelled") << i;
   }
@@ -126,7 +120,8 @@
     RestartLeader();
     auto answer =
         std::async(std::launch::async, [&] { return PollUntilAnswered(job); });
-    ASSERT_TRUE(WaitFor(5, [&] { return rules().IsHeld(ReadOf(job)); }));
+    ASSERT_TRUE(WaitFor(
+        5, [&] { return rules().IsHeld(ReadOf(job)); }, kPollIntervalS));
     const double read_s = Now();
     const double cancelled_s = Cancel(job);
     rules().Release(kJobListing);
@@ -155,7 +150,7 @@
   EXPECT_TRUE(WaitUntilRecordsAreRead());
   cluster_.state().SetWatchDelay(0);
   Sleep(cancelled_s + kCancelDeadlineS - Now());
-  EXPECT_EQ(CountPresent(job), 0);
+  EXPECT_EQ(cluster_.history().CountPresent(job), 0);
 }
 
 }  // namespace
--- a/tests/loopback/small_tasks_test.cc
+++ b/tests/loopback/small_tasks_test.cc
@@ -34,26 +34,14 @@
 
   // Waits until `starts` tasks have started in all.
   bool WaitForStarts(size_t starts) const {
-    for (const double deadline_s = Now() + kTimeoutS; Now() < deadline_s;
-         Sleep(0.1))
-      if (cluster_.history().CountStarts() >= starts) return true;
-    return false;
+    return WaitFor(kTimeoutS,
+                   [&] { return cluster_.history().CountStarts() >= starts; });
   }
 
   // Waits until no task of the job is on any machine.
   bool WaitUntilGone(const std::string& job, double timeout_s) const {
-    for (const double deadline_s = Now() + timeout_s; Now() < deadline_s;
-         Sleep(0.1))
-      if (CountPresent(job) == 0) return true;
-    return false;
-  }
-
-  // The number of the job's tasks on all machines.
-  int CountPresent(const std::string& job) const {
-    int present = 0;
-    for (const ExecutionEvent& event : cluster_.history().events())
-      if (event.task.rfind(job + "/", 0) == 0) present += event.starts ? 1 : -1;
-    return present;
+    return WaitFor(timeout_s,
+                   [&] { return cluster_.history().CountPresent(job) == 0; });
   }
 
   // The job's status from the first controller that answers.
--- a/tests/loopback/zone_cut_test.cc
+++ b/tests/loopback/zone_cut_test.cc
@@ -32,14 +32,6 @@
     .worker_lease_s = kWorkerLeaseS,
     .cancel_deadline_s = kCancelDeadlineS};
 
-template <typename Condition>
-bool WaitFor(double timeout_s, Condition condition) {
-  for (const double deadline_s = Now() + timeout_s; Now() < deadline_s;
-       Sleep(0.1))
-    if (condition()) return true;
-  return false;
-}
-
 class ZoneCutTest : public ::testing::Test {
  protected:
   // Starts four tasks of each of three jobs, one of each on a machine: the
@@ -55,18 +47,11 @@
   void StartJob(const JobRequest& job) {
     ASSERT_TRUE(cluster_.clients().Submit(job));
     ASSERT_TRUE(WaitFor(30, [&] {
-      return CountStarts(job.id) == static_cast<size_t>(job.tasks);
+      return cluster_.history().CountStartsOf(job.id) ==
+             static_cast<size_t>(job.tasks);
     })) << job.id;
   }
 
-  size_t CountStarts(const std::string& job) const {
-    const std::vector<ExecutionEvent> events = cluster_.history().events();
-    return static_cast<size_t>(
-        std::count_if(events.begin(), events.end(), [&](const auto& event) {
-          return event.starts && event.task.rfind(job + "/", 0) == 0;
-        }));
-  }
-
   // Returns the task of the movable job that was first started on the machine;
   // empty: none.
   std::string FindMovableTask(const std::string& machine) const {
--- a/tests/manual_state_service.h
+++ b/tests/manual_state_service.h
@@ -79,16 +79,16 @@
   // Commits by other controllers.
   void SubmitJob(const LiveJob& job) {
     ++revision_;
-    Put(keys::ForLiveJob(job.spec.id), protocol::EncodeLiveJob(job), 0);
+    Put(keys::ForLiveJob(job.spec.id), protocol::EncodeLiveJob(job));
   }
   void EndJob(const std::string& id, FinalState state) {
     ++revision_;
     Remove(keys::ForLiveJob(id));
-    Put(keys::ForFinalState(id), protocol::EncodeFinalState(state), 0);
+    Put(keys::ForFinalState(id), protocol::EncodeFinalState(state));
   }
   void SetLeader(const LeaderRecord& leader) {
     ++revision_;
-    Put(keys::kLeader, protocol::EncodeLeaderRecord(leader), 0);
+    Put(keys::kLeader, protocol::EncodeLeaderRecord(leader));
   }
   void RemoveLeader() {
     ++revision_;
@@ -172,7 +172,7 @@
       if (mutation.remove)
         Remove(mutation.key);
       else
-        Put(mutation.key, mutation.value, mutation.lease);
+        Put(mutation.key, mutation.value);
     }
     result.revision = revision_;
     return result;
@@ -184,7 +184,7 @@
   }
   StateResult Serve(const LeaseRenew& renew) { return MakeResult(renew.id); }
 
-  void Put(const std::string& key, const std::string& value, uint64_t) {
+  void Put(const std::string& key, const std::string& value) {
     entries_[key] = {value, revision_};
     AddChange({key, value, revision_, false});
   }
--- a/tests/scripted_leader.h
+++ b/tests/scripted_leader.h
@@ -16,6 +16,7 @@
 #include "base/constants.h"
 #include "core/controller/controller.h"
 #include "core/coordination/keys.h"
+#include "make_job.h"
 #include "protocol/stored_records_codec.h"
 
 namespace sorrelwood::test {
@@ -60,51 +61,41 @@
               const std::string& image = "",
               const std::string& job_class = "class",
               const std::string& team = "team") {
-    LiveJob job;
-    job.spec.id = id;
+    LiveJob job = MakeSmallJob(id);
     job.spec.job_class = job_class;
     job.spec.team = team;
     job.spec.tasks = tasks;
     job.spec.cpus = cpus;
-    job.spec.memory_gb = 1;
     job.spec.image = image;
     job.spec.spot = true;
-    job.spec.estimate_s = 30;
     if (team == "guests") {
       job.spec.checkpoint_interval_s = 10;
       job.spec.save_s = 1;
     }
-    job.submitted_wall_s = 1e6 + now_;
-    keys_[keys::ForLiveJob(id)] = {protocol::EncodeLiveJob(job), ++revision_};
-    news_.push_back(
-        {keys::ForLiveJob(id), keys_[keys::ForLiveJob(id)].first, revision_});
-  }
-
-  // Stores the job as if its user had submitted it now.
-  void AddLiveJob(LiveJob job) {
-    const std::string id = job.spec.id;
-    job.submitted_wall_s = 1e6 + now_;
-    keys_[keys::ForLiveJob(id)] = {protocol::EncodeLiveJob(job), ++revision_};
-    news_.push_back(
-        {keys::ForLiveJob(id), keys_[keys::ForLiveJob(id)].first, revision_});
+    AddLiveJob(std::move(job));
   }
 
   // Stores a service whose replicas take `cpus` each.
   void AddService(const std::string& id, uint32_t replicas, double cpus,
                   const std::string& team) {
-    LiveJob job;
-    job.spec.id = id;
+    LiveJob job = MakeSmallJob(id);
     job.spec.job_class = "service";
     job.spec.team = team;
     job.spec.shape = JobShape::kService;
     job.spec.priority = Priority::kProduction;
     job.spec.tasks = replicas;
     job.spec.cpus = cpus;
-    job.spec.memory_gb = 1;
+    job.spec.estimate_s = 0;
+    AddLiveJob(std::move(job));
+  }
+
+  // Stores the job as if its user had submitted it now.
+  void AddLiveJob(LiveJob job) {
     job.submitted_wall_s = 1e6 + now_;
-    keys_[keys::ForLiveJob(id)] = {protocol::EncodeLiveJob(job), ++revision_};
-    news_.push_back(
-        {keys::ForLiveJob(id), keys_[keys::ForLiveJob(id)].first, revision_});
+    const std::string key = keys::ForLiveJob(job.spec.id);
+    const std::string record = protocol::EncodeLiveJob(job);
+    keys_[key] = {record, ++revision_};
+    news_.push_back({key, record, revision_});
   }
 
   void Run(double seconds) {
