--- a/tests/answer_orders_test.cc
+++ b/tests/answer_orders_test.cc
@@ -109,6 +109,7 @@
         {4, &RandomOrders::SubmitElsewhere},
         {4, &RandomOrders::EndElsewhere},
         {12, &RandomOrders::AskUser},
+        {3, &RandomOrders::ReceivePeerStatus},
         {3, &RandomOrders::ChangeLeader},
         {2, &RandomOrders::Restart}};
     size_t total = 0;
@@ -244,6 +245,17 @@
     }
   }
 
+  // The other controller, as leader, counts tasks of jobs that may have ended.
+  void ReceivePeerStatus() {
+    PeerStatus status;
+    status.node = kOtherNode;
+    status.term = other_term_;
+    status.leader = true;
+    for (const auto& [id, job] : jobs_)
+      if (Draw(2) == 0) status.jobs.push_back({id, 0, 1});
+    Handle(controller_->OnPeerStatus(Time(), status));
+  }
+
   // What the process had sent is carried out later or never.
   void Restart() {
     for (const ManualStateService::Request& request : state_.requests())
