Tests: answers that carry a job's end, late watches, counts of peers, listings of two moments

- JobEndTest: the answer to a cancellation, to a cancellation of an ended job and to a poll's check arrives after each kind of other news (15 cases).
- JobRecords.AWatchOlderThanAListingBringsNothingBack: a watch that was carried out before a leader's listing and is answered after it.
- PeerStatusExchange.CountsAddNoJob.
- ManualStateService reads the second page of a listing when it answers, so that every order is also played with listings of two moments.
- AnswerOrders: some jobs are done, and the leader ends them; a final state must stay the one that a user was told.

--- a/tests/answer_orders_test.cc
+++ b/tests/answer_orders_test.cc
@@ -32,15 +32,13 @@
 constexpr char kNode[] = "node-0";
 constexpr char kOtherNode[] = "node-1";
 
-// A job as its user knows it.
-struct UserJob {
-  bool accepted = false;
-  bool told_ended = false;
-};
+constexpr char kCancelled[] = "cancelled";
+constexpr char kDone[] = "done";
 
 struct UserRequest {
   std::string job;
-  bool sent_after_end = false;  // the user had been told that the job ended
+  // The final state that the user had been told when it was sent; empty: none.
+  std::string told_end;
 };
 
 class RandomOrders {
@@ -80,11 +78,11 @@
   }
   std::set<std::string> LiveJobs() const {
     std::set<std::string> live;
-    for (const auto& [id, job] : jobs_)
+    for (const auto& [id, told_end] : jobs_)
       if (state_.Has(keys::ForLiveJob(id))) live.insert(id);
     return live;
   }
-  // Answers that are older than what a user had been told.
+  // Answers that contradict what a user had been told.
   const std::vector<std::string>& violations() const { return violations_; }
 
  private:
@@ -216,8 +214,9 @@
 
   void SubmitElsewhere() {
     const std::string id = "job-" + std::to_string(100000 + jobs_.size());
-    jobs_[id].accepted = true;
+    jobs_[id];
     state_.SubmitJob(MakeSmallJob(id));
+    if (Draw(4) == 0) state_.CompleteOnlyTask(id);
   }
   void EndElsewhere() {
     const std::set<std::string> live = LiveJobs();
@@ -226,16 +225,16 @@
     const std::string id =
         *DrawFrom(live.rbegin(), std::min(live.size(), kRecentJobs));
     state_.EndJob(id, FinalState::kCancelled);
-    jobs_[id].told_ended = true;
+    jobs_[id] = kCancelled;
   }
   void AskUser() {
     if (jobs_.empty() || Draw(4) == 0)
       jobs_["job-" + std::to_string(100000 + jobs_.size())];
     const size_t candidates =
         Draw(2) == 0 ? jobs_.size() : std::min(jobs_.size(), kRecentJobs);
-    const auto& [id, job] = *DrawFrom(jobs_.rbegin(), candidates);
+    const auto& [id, told_end] = *DrawFrom(jobs_.rbegin(), candidates);
     const uint64_t request = ++last_request_;
-    requests_[request] = {id, job.told_ended};
+    requests_[request] = {id, told_end};
     switch (Draw(4)) {
       case 0: return Handle(controller_->Cancel(Time(), request, id));
       case 1:
@@ -251,7 +250,7 @@
     status.node = kOtherNode;
     status.term = other_term_;
     status.leader = true;
-    for (const auto& [id, job] : jobs_)
+    for (const auto& [id, told_end] : jobs_)
       if (Draw(2) == 0) status.jobs.push_back({id, 0, 1});
     Handle(controller_->OnPeerStatus(Time(), status));
   }
@@ -302,17 +301,25 @@
   }
   void OnAnswer(const ClientResponse& answer) {
     const UserRequest request = requests_[answer.request];
-    UserJob& job = jobs_[request.job];
-    if (answer.status != 200 && answer.status != 201) {
-      if (answer.status == 404 && request.sent_after_end)
-        violations_.push_back(request.job + " is not known any more");
-      return;
-    }
-    job.accepted = true;
-    const bool ended = answer.body.find("cancelled") != std::string::npos;
-    if (request.sent_after_end && !ended)
-      violations_.push_back(request.job + " has ended and is " + answer.body);
-    if (ended) job.told_ended = true;
+    if (answer.status == 404 && !request.told_end.empty())
+      violations_.push_back(request.job + " is not known any more");
+    if (answer.status != 200 && answer.status != 201) return;
+    std::string& told_end = jobs_[request.job];
+    const std::string end = FinalStateIn(answer.body);
+    if (!request.told_end.empty() && end != request.told_end)
+      violations_.push_back(request.job + " was " + request.told_end +
+                            " and is " + answer.body);
+    if (end.empty()) return;
+    if (!told_end.empty() && end != told_end)
+      violations_.push_back(request.job + " is " + told_end + " and " + end);
+    told_end = end;
+  }
+  // Empty: the job has not ended.
+  static std::string FinalStateIn(const std::string& body) {
+    for (const std::string state : {kCancelled, kDone})
+      if (body.find("\"status\":\"" + state + "\"") != std::string::npos)
+        return state;
+    return "";
   }
 
   std::mt19937_64 random_;
@@ -323,7 +330,8 @@
   std::unique_ptr<Controller> controller_;
   double now_ = 100;
   uint64_t other_term_ = 1, last_request_ = 0;
-  std::map<std::string, UserJob> jobs_;
+  // The final state that the users were told, by job; empty: none.
+  std::map<std::string, std::string> jobs_;
   std::map<uint64_t, UserRequest> requests_;
   std::set<std::string> jobs_of_leader_;
   std::vector<std::string> violations_;
--- a/tests/job_records_test.cc
+++ b/tests/job_records_test.cc
@@ -31,6 +31,13 @@
   kFailoverListing,
 };
 
+// The answer of the state service that shows the end of a job.
+enum class EndSource {
+  kCancellation,      // which was committed
+  kLateCancellation,  // of a job that has ended
+  kQuorumRead,        // of a poll
+};
+
 // What the controller learns between the time at which the record is read and
 // the time at which it arrives.
 enum class LaterNews {
@@ -253,6 +260,71 @@
   ExpectToldCancelled();
 }
 
+// Guards against a job that a watch adds although a listing, carried out later
+// and answered earlier, lacks it.
+TEST_F(JobRecords, AWatchOlderThanAListingBringsNothingBack) {
+  LoadCache();
+  state_.SubmitJob(MakeSmallJob(kJob));
+  ASSERT_NO_FATAL_FAILURE(CarryOut("watch"));
+  state_.EndJob(kJob, FinalState::kCancelled);
+  ApplyFailoverListing();
+  ASSERT_NO_FATAL_FAILURE(AnswerLastListing());
+  ASSERT_NO_FATAL_FAILURE(Answer("watch"));
+  EXPECT_FALSE(cache_.FindLiveJob(kJob));
+  context_.now += kStepS;
+  cache_.Tick();
+  ASSERT_NO_FATAL_FAILURE(Answer("watch"));
+  EXPECT_EQ(cache_.FindFinalState(kJob), FinalState::kCancelled);
+}
+
+// Answers that show the end of a job, after other news of it.
+class JobEndTest
+    : public JobRecords,
+      public ::testing::WithParamInterface<std::tuple<EndSource, LaterNews>> {
+ protected:
+  void LearnOfLiveJob(LaterNews news) {
+    if (news != LaterNews::kFirstListing) LoadCache();
+    state_.SubmitJob(MakeSmallJob(kJob));
+    api_.Poll(kUserRequest, kJob);
+    ASSERT_NO_FATAL_FAILURE(Answer("get " + keys::ForLiveJob(kJob)));
+    ASSERT_TRUE(cache_.FindLiveJob(kJob));
+  }
+  // Has the end carried out or read, and not answered yet.
+  void ReadEnd(EndSource source) {
+    if (source != EndSource::kCancellation)
+      state_.EndJob(kJob, FinalState::kCancelled);
+    if (source == EndSource::kQuorumRead)
+      SendQuorumRead();
+    else
+      api_.Cancel(kUserRequest + 1, kJob);
+    CarryOut(end_request_);
+  }
+  void SendQuorumRead() {
+    api_.Poll(kUserRequest + 1, kJob);
+    context_.now += kStepS;
+    api_.Tick();
+  }
+
+  const std::string end_request_ = "transact " + keys::ForLiveJob(kJob);
+};
+
+// Guards against a job that is live again, or told as such, when the answer
+// with its end arrives after other news of it.
+TEST_P(JobEndTest, AnEndedJobStaysEnded) {
+  const auto [source, news] = GetParam();
+  ASSERT_NO_FATAL_FAILURE(LearnOfLiveJob(news));
+  ASSERT_NO_FATAL_FAILURE(ReadEnd(source));
+  ASSERT_NO_FATAL_FAILURE(Learn(news));
+  int added = 0;
+  cache_.on_job_added = [&added](const std::string&) { ++added; };
+  ASSERT_NO_FATAL_FAILURE(Answer(end_request_));
+  AnswerFinalKey();
+  ExpectToldCancelled();
+  EXPECT_FALSE(cache_.FindLiveJob(kJob));
+  EXPECT_EQ(cache_.FindFinalState(kJob), FinalState::kCancelled);
+  EXPECT_EQ(added, 0);
+}
+
 // Guards against a live job that is taken for an ended one.
 TEST_P(JobRecordsTest, ALateRecordOfALiveJobIsKept) {
   const auto [source, news] = GetParam();
@@ -309,16 +381,26 @@
   ExpectToldCancelled();
 }
 
-std::string CaseName(
-    const ::testing::TestParamInfo<JobRecordsTest::ParamType>& test) {
-  static const char* const kSourceNames[] = {"Poll", "Cancellation",
-                                             "RepeatedSubmission", "Submission",
-                                             "FailoverListing"};
-  static const char* const kNewsNames[] = {"FirstListing", "Watch", "ManyEnds",
-                                           "ListingAfter410",
-                                           "FailoverListing"};
-  return std::string(kSourceNames[static_cast<int>(std::get<0>(test.param))]) +
-         "BeforeThe" + kNewsNames[static_cast<int>(std::get<1>(test.param))];
+const char* NameOf(RecordSource source) {
+  static const char* const kNames[] = {"Poll", "Cancellation",
+                                       "RepeatedSubmission", "Submission",
+                                       "FailoverListing"};
+  return kNames[static_cast<int>(source)];
+}
+const char* NameOf(EndSource source) {
+  static const char* const kNames[] = {"Cancellation", "LateCancellation",
+                                       "QuorumRead"};
+  return kNames[static_cast<int>(source)];
+}
+const char* NameOf(LaterNews news) {
+  static const char* const kNames[] = {"FirstListing", "Watch", "ManyEnds",
+                                       "ListingAfter410", "FailoverListing"};
+  return kNames[static_cast<int>(news)];
+}
+template <typename Case>
+std::string CaseName(const ::testing::TestParamInfo<Case>& test) {
+  return std::string(NameOf(std::get<0>(test.param))) + "BeforeThe" +
+         NameOf(std::get<1>(test.param));
 }
 
 constexpr RecordSource kSources[] = {
@@ -334,14 +416,24 @@
                                          LaterNews::kManyEnds,
                                          LaterNews::kListingAfter410,
                                          LaterNews::kFailoverListing)),
-    CaseName);
+    CaseName<JobRecordsTest::ParamType>);
 INSTANTIATE_TEST_SUITE_P(
     EachOrder, JobListingTest,
     ::testing::Combine(::testing::ValuesIn(kSources),
                        ::testing::Values(LaterNews::kFirstListing,
                                          LaterNews::kListingAfter410,
                                          LaterNews::kFailoverListing)),
-    CaseName);
+    CaseName<JobRecordsTest::ParamType>);
+
+INSTANTIATE_TEST_SUITE_P(
+    EachOrder, JobEndTest,
+    ::testing::Combine(
+        ::testing::Values(EndSource::kCancellation,
+                          EndSource::kLateCancellation, EndSource::kQuorumRead),
+        ::testing::Values(LaterNews::kFirstListing, LaterNews::kWatch,
+                          LaterNews::kManyEnds, LaterNews::kListingAfter410,
+                          LaterNews::kFailoverListing)),
+    CaseName<JobEndTest::ParamType>);
 
 }  // namespace
 }  // namespace sorrelwood::test
--- a/tests/manual_state_service.h
+++ b/tests/manual_state_service.h
@@ -1,10 +1,13 @@
 // A state service in memory that carries out each request, and answers it, when
 // the test says so. Tests choose with it in which order answers arrive.
+// Listings have two pages: the first is read when the request is carried out,
+// the second when it is answered.
 #pragma once
 
 #include <algorithm>
 #include <cstdint>
 #include <deque>
+#include <iterator>
 #include <list>
 #include <map>
 #include <optional>
@@ -67,6 +70,8 @@
   StateResult TakeAnswer(Request* request) {
     CarryOut(request);
     StateResult result = *request->result;
+    if (const auto* list = std::get_if<StateList>(&request->action))
+      AddSecondPage(*list, &result);
     Drop(request);
     return result;
   }
@@ -86,6 +91,14 @@
     Remove(keys::ForLiveJob(id));
     Put(keys::ForFinalState(id), protocol::EncodeFinalState(state));
   }
+  // Stores that the job's only task is done. The next leader ends the job.
+  void CompleteOnlyTask(const std::string& id) {
+    ++revision_;
+    CompletionRecord record;
+    record.bits_hex = "1";
+    Put(keys::ForCompletions(id, /*chunk=*/0),
+        protocol::EncodeCompletionRecord(record));
+  }
   void SetLeader(const LeaderRecord& leader) {
     ++revision_;
     Put(keys::kLeader, protocol::EncodeLeaderRecord(leader));
@@ -139,13 +152,28 @@
   }
   StateResult Serve(const StateList& list) {
     StateResult result = MakeResult(list.id);
-    for (auto entry = entries_.lower_bound(list.prefix);
+    result.items = ReadAfter(list.prefix, "");
+    result.items.resize((result.items.size() + 1) / 2);
+    return result;
+  }
+  // The result keeps the revision of the first page.
+  void AddSecondPage(const StateList& list, StateResult* result) const {
+    if (result->items.empty()) return;
+    std::vector<KeyValue> page =
+        ReadAfter(list.prefix, result->items.back().key);
+    std::move(page.begin(), page.end(), std::back_inserter(result->items));
+  }
+  // The entries with the prefix whose keys follow `last_key`.
+  std::vector<KeyValue> ReadAfter(const std::string& prefix,
+                                  const std::string& last_key) const {
+    std::vector<KeyValue> items;
+    for (auto entry = entries_.upper_bound(std::max(prefix, last_key));
          entry != entries_.end() &&
-         entry->first.compare(0, list.prefix.size(), list.prefix) == 0;
+         entry->first.compare(0, prefix.size(), prefix) == 0;
          ++entry)
-      result.items.push_back(
+      items.push_back(
           {entry->first, entry->second.value, entry->second.version, false});
-    return result;
+    return items;
   }
   StateResult Serve(const StateWatch& watch) {
     StateResult result = MakeResult(watch.id);
--- a/tests/peer_status_test.cc
+++ b/tests/peer_status_test.cc
@@ -76,5 +76,22 @@
   EXPECT_EQ(repeated, 3u);
 }
 
+// Guards against a job that is live because another controller counts its
+// tasks.
+TEST(PeerStatusExchange, CountsAddNoJob) {
+  constexpr char kUnknownJob[] = "job-000001";
+  constexpr char kEndedJob[] = "job-000002";
+  ExchangeOfOneNode node;
+  node.job_cache.ApplyFinalState(kEndedJob, FinalState::kCancelled);
+  PeerStatus status;
+  status.node = "node-1";
+  status.leader = true;
+  status.term = 1;
+  status.jobs = {{kUnknownJob, 0, 1}, {kEndedJob, 0, 1}};
+  node.exchange.OnPeerStatus(status);
+  EXPECT_TRUE(node.job_cache.live_jobs().empty());
+  EXPECT_EQ(node.job_cache.FindFinalState(kEndedJob), FinalState::kCancelled);
+}
+
 }  // namespace
 }  // namespace sorrelwood
