--- a/cmake/CheckLayers.cmake
+++ b/cmake/CheckLayers.cmake
@@ -5,6 +5,7 @@
 cmake_policy(VERSION 3.22)
 
 set(LAYERS
+  base/constants
   base
   core/model
   core/engine
@@ -27,8 +28,8 @@
   server)
 # Each of these knows the core's inputs and effects, not its other parts.
 set(ADAPTERS http state cloud peer config)
-set(CORE_FOR_ADAPTERS base core/model core/engine protocol concurrency
-  http)
+set(CORE_FOR_ADAPTERS base/constants base core/model core/engine protocol
+  concurrency http)
 
 set(violations 0)
 foreach(folder IN LISTS LAYERS)
--- a/src/cloud/cloud_client.cc
+++ b/src/cloud/cloud_client.cc
@@ -6,7 +6,7 @@
 #include <thread>
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/cloud.h"
 #include "protocol/cloud_codec.h"
 #include "protocol/field_names.h"
 #include "protocol/status_codes.h"
--- a/src/concurrency/threads.h
+++ b/src/concurrency/threads.h
@@ -9,7 +9,7 @@
 #include <memory>
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/threads.h"
 
 namespace sorrelwood {
 
--- a/src/config/capacity.cc
+++ b/src/config/capacity.cc
@@ -4,7 +4,8 @@
 #include <cmath>
 #include <sstream>
 
-#include "base/constants.h"
+#include "base/constants/controller_capacity.h"
+#include "base/constants/state_service.h"
 
 namespace sorrelwood {
 namespace {
--- a/src/config/cluster_settings.cc
+++ b/src/config/cluster_settings.cc
@@ -4,7 +4,7 @@
 #include <set>
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/controller_capacity.h"
 #include "config/capacity.h"
 #include "config/json_section.h"
 #include "config/settings_file.h"
--- a/src/core/api/lookup_quota.cc
+++ b/src/core/api/lookup_quota.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "base/constants.h"
+#include "base/constants/user_requests.h"
 
 namespace sorrelwood {
 
--- a/src/core/api/pending_requests.cc
+++ b/src/core/api/pending_requests.cc
@@ -3,7 +3,7 @@
 #include <utility>
 #include <vector>
 
-#include "base/constants.h"
+#include "base/constants/user_requests.h"
 #include "protocol/client_codec.h"
 
 namespace sorrelwood {
--- a/src/core/api/quorum_reads.cc
+++ b/src/core/api/quorum_reads.cc
@@ -5,7 +5,7 @@
 #include <set>
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/user_requests.h"
 #include "core/coordination/keys.h"
 
 namespace sorrelwood {
--- a/src/core/autoscaling/autoscaler.cc
+++ b/src/core/autoscaling/autoscaler.cc
@@ -1,6 +1,6 @@
 #include "core/autoscaling/autoscaler.h"
 
-#include "base/constants.h"
+#include "base/constants/autoscaling.h"
 #include "core/autoscaling/scale_out_plan.h"
 
 namespace sorrelwood {
--- a/src/core/autoscaling/baseline.cc
+++ b/src/core/autoscaling/baseline.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <vector>
 
-#include "base/constants.h"
+#include "base/constants/autoscaling.h"
 
 namespace sorrelwood {
 
--- a/src/core/autoscaling/demand_estimator.cc
+++ b/src/core/autoscaling/demand_estimator.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "base/constants.h"
+#include "base/constants/autoscaling.h"
 #include "core/scheduling/placement.h"
 
 namespace sorrelwood {
--- a/src/core/autoscaling/excess_drainer.cc
+++ b/src/core/autoscaling/excess_drainer.cc
@@ -4,7 +4,7 @@
 #include <compare>
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/autoscaling.h"
 #include "core/autoscaling/offer_catalog.h"
 #include "core/scheduling/task_stop.h"
 
--- a/src/core/autoscaling/expected_capacity.cc
+++ b/src/core/autoscaling/expected_capacity.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "base/constants.h"
+#include "base/constants/run_time_estimates.h"
 #include "core/autoscaling/boot_history.h"
 #include "core/autoscaling/demand_estimator.h"
 
--- a/src/core/autoscaling/headroom_planner.cc
+++ b/src/core/autoscaling/headroom_planner.cc
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 
-#include "base/constants.h"
+#include "base/constants/immediate_start_reserves.h"
+#include "base/constants/services.h"
 #include "core/autoscaling/boot_history.h"
 #include "core/autoscaling/expected_capacity.h"
 
--- a/src/core/autoscaling/inventory_reconciler.cc
+++ b/src/core/autoscaling/inventory_reconciler.cc
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 
-#include "base/constants.h"
+#include "base/constants/cloud.h"
+#include "base/constants/workers.h"
 #include "core/autoscaling/machine_registration.h"
 
 namespace sorrelwood {
--- a/src/core/autoscaling/machine_releases.cc
+++ b/src/core/autoscaling/machine_releases.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "base/constants.h"
+#include "base/constants/cloud.h"
 #include "core/coordination/keys.h"
 
 namespace sorrelwood {
--- a/src/core/autoscaling/provisioning_requests.cc
+++ b/src/core/autoscaling/provisioning_requests.cc
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/cloud.h"
+#include "base/constants/state_service.h"
 #include "core/autoscaling/machine_registration.h"
 #include "core/coordination/keys.h"
 #include "protocol/stored_records_codec.h"
--- a/src/core/balance/rebalancer.cc
+++ b/src/core/balance/rebalancer.cc
@@ -4,7 +4,8 @@
 #include <cstdio>
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/autoscaling.h"
+#include "base/constants/load_spread.h"
 #include "core/balance/image_affinity.h"
 #include "core/scheduling/task_stop.h"
 
--- a/src/core/balance/speed_tracker.cc
+++ b/src/core/balance/speed_tracker.cc
@@ -1,6 +1,6 @@
 #include "core/balance/speed_tracker.h"
 
-#include "base/constants.h"
+#include "base/constants/load_spread.h"
 
 namespace sorrelwood {
 
--- a/src/core/controller/catalog_refresher.cc
+++ b/src/core/controller/catalog_refresher.cc
@@ -1,6 +1,6 @@
 #include "core/controller/catalog_refresher.h"
 
-#include "base/constants.h"
+#include "base/constants/cloud.h"
 
 namespace sorrelwood {
 
--- a/src/core/controller/controller.cc
+++ b/src/core/controller/controller.cc
@@ -2,7 +2,8 @@
 
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/leader_election.h"
+#include "base/constants/state_service.h"
 
 namespace sorrelwood {
 namespace {
--- a/src/core/controller/failover_recovery.cc
+++ b/src/core/controller/failover_recovery.cc
@@ -3,7 +3,7 @@
 #include <utility>
 #include <vector>
 
-#include "base/constants.h"
+#include "base/constants/workers.h"
 #include "core/coordination/keys.h"
 #include "protocol/stored_records_codec.h"
 
--- a/src/core/controller/job_lifecycle.h
+++ b/src/core/controller/job_lifecycle.h
@@ -4,7 +4,7 @@
 
 #include <string>
 
-#include "base/constants.h"
+#include "base/constants/queue_order.h"
 #include "base/periodic_timer.h"
 #include "core/balance/rebalancer.h"
 #include "core/coordination/completion_store.h"
--- a/src/core/controller/leader_role.h
+++ b/src/core/controller/leader_role.h
@@ -7,7 +7,11 @@
 #include <string>
 #include <vector>
 
-#include "base/constants.h"
+#include "base/constants/debug_log.h"
+#include "base/constants/placement.h"
+#include "base/constants/services.h"
+#include "base/constants/state_service.h"
+#include "base/constants/workers.h"
 #include "base/periodic_timer.h"
 #include "core/autoscaling/autoscaler.h"
 #include "core/balance/bounded_placement.h"
--- a/src/core/controller/node_health.cc
+++ b/src/core/controller/node_health.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 
-#include "base/constants.h"
+#include "base/constants/state_service.h"
 
 namespace sorrelwood {
 
--- a/src/core/controller/peer_status_exchange.h
+++ b/src/core/controller/peer_status_exchange.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "base/constants.h"
+#include "base/constants/peers.h"
 #include "base/periodic_timer.h"
 #include "core/controller/node_health.h"
 #include "core/coordination/job_cache.h"
--- a/src/core/coordination/completion_store.cc
+++ b/src/core/coordination/completion_store.cc
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <cstdlib>
 
-#include "base/constants.h"
+#include "base/constants/state_service.h"
+#include "base/constants/user_requests.h"
 #include "core/coordination/keys.h"
 #include "protocol/stored_records_codec.h"
 
--- a/src/core/coordination/job_cache.cc
+++ b/src/core/coordination/job_cache.cc
@@ -4,7 +4,7 @@
 #include <unordered_set>
 #include <vector>
 
-#include "base/constants.h"
+#include "base/constants/user_requests.h"
 #include "core/coordination/keys.h"
 #include "protocol/stored_records_codec.h"
 
--- a/src/core/coordination/leader_election.cc
+++ b/src/core/coordination/leader_election.cc
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 
-#include "base/constants.h"
+#include "base/constants/clocks.h"
+#include "base/constants/leader_election.h"
 #include "core/coordination/keys.h"
 #include "protocol/stored_records_codec.h"
 
--- a/src/core/coordination/leader_election.h
+++ b/src/core/coordination/leader_election.h
@@ -4,7 +4,7 @@
 // number.
 #pragma once
 
-#include "base/constants.h"
+#include "base/constants/leader_election.h"
 #include "core/coordination/job_cache.h"
 #include "core/engine/context.h"
 
--- a/src/core/coordination/state_limits.cc
+++ b/src/core/coordination/state_limits.cc
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 
-#include "base/constants.h"
+#include "base/constants/state_service.h"
+#include "base/constants/user_requests.h"
 
 namespace sorrelwood {
 
--- a/src/core/jobs/class_profile.cc
+++ b/src/core/jobs/class_profile.cc
@@ -1,6 +1,7 @@
 #include "core/jobs/class_profile.h"
 
-#include "base/constants.h"
+#include "base/constants/immediate_start_reserves.h"
+#include "base/constants/services.h"
 
 namespace sorrelwood {
 
--- a/src/core/jobs/queue_ranking.cc
+++ b/src/core/jobs/queue_ranking.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "base/constants.h"
+#include "base/constants/queue_order.h"
 #include "core/jobs/objective_slack.h"
 
 namespace sorrelwood {
--- a/src/core/jobs/run_time_estimator.cc
+++ b/src/core/jobs/run_time_estimator.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "base/constants.h"
+#include "base/constants/run_time_estimates.h"
 
 namespace sorrelwood {
 
--- a/src/core/jobs/task_resources.cc
+++ b/src/core/jobs/task_resources.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "base/constants.h"
+#include "base/constants/placement.h"
 #include "protocol/worker_message_size.h"
 
 namespace sorrelwood {
--- a/src/core/scheduling/headroom.cc
+++ b/src/core/scheduling/headroom.cc
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <deque>
 
-#include "base/constants.h"
+#include "base/constants/services.h"
 
 namespace sorrelwood {
 
--- a/src/core/scheduling/immediate_start_reserves.cc
+++ b/src/core/scheduling/immediate_start_reserves.cc
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/immediate_start_reserves.h"
 #include "core/scheduling/slots.h"
 
 namespace sorrelwood {
--- a/src/core/scheduling/pass_selection.cc
+++ b/src/core/scheduling/pass_selection.cc
@@ -5,7 +5,7 @@
 #include <map>
 #include <string_view>
 
-#include "base/constants.h"
+#include "base/constants/placement.h"
 
 namespace sorrelwood {
 
--- a/src/core/scheduling/preemption.cc
+++ b/src/core/scheduling/preemption.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "base/constants.h"
+#include "base/constants/placement.h"
 #include "core/scheduling/task_stop.h"
 
 namespace sorrelwood {
--- a/src/core/scheduling/replica_manager.cc
+++ b/src/core/scheduling/replica_manager.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <cmath>
 
-#include "base/constants.h"
+#include "base/constants/leader_election.h"
+#include "base/constants/services.h"
+#include "base/constants/workers.h"
 
 namespace sorrelwood {
 
--- a/src/core/scheduling/slots.cc
+++ b/src/core/scheduling/slots.cc
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
-#include "base/constants.h"
+#include "base/constants/immediate_start_reserves.h"
+#include "base/constants/placement.h"
 #include "core/scheduling/eligibility.h"
 
 namespace sorrelwood {
--- a/src/core/scheduling/task_stop.cc
+++ b/src/core/scheduling/task_stop.cc
@@ -1,6 +1,7 @@
 #include "core/scheduling/task_stop.h"
 
-#include "base/constants.h"
+#include "base/constants/autoscaling.h"
+#include "base/constants/placement.h"
 
 namespace sorrelwood {
 
--- a/src/core/workers/failure_tracker.cc
+++ b/src/core/workers/failure_tracker.cc
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/workers.h"
 
 namespace sorrelwood {
 
--- a/src/core/workers/health_monitor.cc
+++ b/src/core/workers/health_monitor.cc
@@ -4,7 +4,8 @@
 #include <string>
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/leader_election.h"
+#include "base/constants/workers.h"
 
 namespace sorrelwood {
 
--- a/src/core/workers/health_monitor.h
+++ b/src/core/workers/health_monitor.h
@@ -5,7 +5,8 @@
 
 #include <cstdint>
 
-#include "base/constants.h"
+#include "base/constants/clocks.h"
+#include "base/constants/workers.h"
 #include "core/autoscaling/autoscaler.h"
 #include "core/coordination/leader_election.h"
 #include "core/engine/context.h"
--- a/src/core/workers/preemption_notices.cc
+++ b/src/core/workers/preemption_notices.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "base/constants.h"
+#include "base/constants/workers.h"
 
 namespace sorrelwood {
 
--- a/src/core/workers/quarantine.cc
+++ b/src/core/workers/quarantine.cc
@@ -1,6 +1,6 @@
 #include "core/workers/quarantine.h"
 
-#include "base/constants.h"
+#include "base/constants/workers.h"
 
 namespace sorrelwood {
 
--- a/src/core/workers/reconciler.cc
+++ b/src/core/workers/reconciler.cc
@@ -4,7 +4,8 @@
 #include <iterator>
 #include <vector>
 
-#include "base/constants.h"
+#include "base/constants/leader_election.h"
+#include "base/constants/workers.h"
 #include "protocol/worker_message_size.h"
 
 namespace sorrelwood {
--- a/src/core/workers/task_outcomes.cc
+++ b/src/core/workers/task_outcomes.cc
@@ -1,6 +1,7 @@
 #include "core/workers/task_outcomes.h"
 
-#include "base/constants.h"
+#include "base/constants/services.h"
+#include "base/constants/workers.h"
 
 namespace sorrelwood {
 
--- a/src/http/buffered_stream.cc
+++ b/src/http/buffered_stream.cc
@@ -7,7 +7,7 @@
 #include <cerrno>
 #include <cstring>
 
-#include "base/constants.h"
+#include "base/constants/http_connections.h"
 #include "concurrency/clocks.h"
 
 namespace sorrelwood {
--- a/src/http/connection_table.cc
+++ b/src/http/connection_table.cc
@@ -4,7 +4,7 @@
 
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/http_connections.h"
 
 namespace sorrelwood {
 
--- a/src/http/poller.cc
+++ b/src/http/poller.cc
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <array>
 
-#include "base/constants.h"
+#include "base/constants/http_connections.h"
 
 namespace sorrelwood {
 
--- a/src/http/request_queue.cc
+++ b/src/http/request_queue.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "base/constants.h"
+#include "base/constants/controller_capacity.h"
 
 namespace sorrelwood {
 namespace {
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -11,7 +11,9 @@
 #include <mutex>
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/http_connections.h"
+#include "base/constants/threads.h"
+#include "base/constants/user_requests.h"
 #include "concurrency/clocks.h"
 #include "concurrency/threads.h"
 #include "http/buffered_stream.h"
--- a/src/main.cc
+++ b/src/main.cc
@@ -12,7 +12,7 @@
 #include <string>
 #include <tl/expected.hpp>
 
-#include "base/constants.h"
+#include "base/constants/threads.h"
 #include "config/cluster_settings.h"
 #include "config/operator_settings.h"
 #include "server/controller_server.h"
--- a/src/peer/peer_connection.cc
+++ b/src/peer/peer_connection.cc
@@ -13,7 +13,8 @@
 #include <cstring>
 #include <thread>
 
-#include "base/constants.h"
+#include "base/constants/http_connections.h"
+#include "base/constants/peers.h"
 #include "concurrency/threads.h"
 #include "http/endpoint.h"
 #include "peer/peer_status_codec.h"
--- a/src/protocol/identifiers.cc
+++ b/src/protocol/identifiers.cc
@@ -3,7 +3,7 @@
 #include <cctype>
 #include <string_view>
 
-#include "base/constants.h"
+#include "base/constants/user_requests.h"
 
 namespace sorrelwood::protocol {
 namespace {
--- a/src/protocol/job_spec_codec.cc
+++ b/src/protocol/job_spec_codec.cc
@@ -3,7 +3,7 @@
 #include <optional>
 #include <string>
 
-#include "base/constants.h"
+#include "base/constants/user_requests.h"
 #include "protocol/field_names.h"
 #include "protocol/identifiers.h"
 
--- a/src/protocol/json_reader.cc
+++ b/src/protocol/json_reader.cc
@@ -2,8 +2,6 @@
 
 #include <cmath>
 
-#include "base/constants.h"
-
 namespace sorrelwood::protocol {
 namespace {
 
--- a/src/protocol/json_reader.h
+++ b/src/protocol/json_reader.h
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-#include "base/constants.h"
+#include "base/constants/user_requests.h"
 #include "base/parse_error.h"
 
 namespace sorrelwood::protocol {
--- a/src/protocol/state_service_codec.cc
+++ b/src/protocol/state_service_codec.cc
@@ -3,7 +3,7 @@
 #include <cmath>
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/user_requests.h"
 #include "protocol/field_names.h"
 #include "protocol/json_reader.h"
 
--- a/src/protocol/stored_records_codec.cc
+++ b/src/protocol/stored_records_codec.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/user_requests.h"
 #include "protocol/job_spec_codec.h"
 #include "protocol/json_reader.h"
 
--- a/src/protocol/worker_codec.cc
+++ b/src/protocol/worker_codec.cc
@@ -4,7 +4,7 @@
 #include <utility>
 #include <vector>
 
-#include "base/constants.h"
+#include "base/constants/user_requests.h"
 #include "protocol/client_codec.h"
 #include "protocol/field_names.h"
 #include "protocol/identifiers.h"
--- a/src/protocol/worker_message_size.h
+++ b/src/protocol/worker_message_size.h
@@ -6,7 +6,8 @@
 #include <cstddef>
 #include <string>
 
-#include "base/constants.h"
+#include "base/constants/user_requests.h"
+#include "base/constants/workers.h"
 #include "core/model/heartbeat.h"
 
 namespace sorrelwood::protocol {
--- a/src/server/cloud_request_workers.cc
+++ b/src/server/cloud_request_workers.cc
@@ -2,7 +2,8 @@
 
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/cloud.h"
+#include "base/constants/threads.h"
 #include "cloud/cloud_client.h"
 #include "concurrency/threads.h"
 
--- a/src/server/command_push_workers.cc
+++ b/src/server/command_push_workers.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/workers.h"
 #include "concurrency/threads.h"
 #include "http/client.h"
 #include "protocol/field_names.h"
--- a/src/server/controller_server.cc
+++ b/src/server/controller_server.cc
@@ -5,7 +5,10 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/controller_capacity.h"
+#include "base/constants/threads.h"
+#include "base/constants/user_requests.h"
+#include "base/constants/workers.h"
 #include "concurrency/clocks.h"
 #include "concurrency/threads.h"
 #include "config/capacity.h"
--- a/src/server/http_routes.cc
+++ b/src/server/http_routes.cc
@@ -3,7 +3,7 @@
 #include <string_view>
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/threads.h"
 #include "concurrency/clocks.h"
 #include "protocol/client_codec.h"
 #include "protocol/field_names.h"
--- a/src/server/state_request_workers.cc
+++ b/src/server/state_request_workers.cc
@@ -2,7 +2,8 @@
 
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/state_service.h"
+#include "base/constants/threads.h"
 #include "concurrency/threads.h"
 #include "state/state_client.h"
 
--- a/src/state/state_client.cc
+++ b/src/state/state_client.cc
@@ -4,7 +4,7 @@
 #include <iterator>
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/state_service.h"
 #include "protocol/field_names.h"
 #include "protocol/state_service_codec.h"
 #include "protocol/status_codes.h"
--- a/tests/answer_orders_test.cc
+++ b/tests/answer_orders_test.cc
@@ -15,7 +15,7 @@
 #include <variant>
 #include <vector>
 
-#include "base/constants.h"
+#include "base/constants/peers.h"
 #include "core/controller/controller.h"
 #include "make_job.h"
 #include "manual_state_service.h"
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -4,7 +4,9 @@
 #include <filesystem>
 #include <fstream>
 
-#include "base/constants.h"
+#include "base/constants/controller_capacity.h"
+#include "base/constants/state_service.h"
+#include "base/constants/user_requests.h"
 #include "base/interval_set.h"
 #include "config/capacity.h"
 #include "config/cluster_settings.h"
--- a/tests/failover_test.cc
+++ b/tests/failover_test.cc
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "base/constants.h"
+#include "base/constants/leader_election.h"
 #include "core/coordination/keys.h"
 #include "scripted_leader.h"
 
--- a/tests/job_records_test.cc
+++ b/tests/job_records_test.cc
@@ -6,7 +6,7 @@
 #include <string>
 #include <tuple>
 
-#include "base/constants.h"
+#include "base/constants/user_requests.h"
 #include "core/api/job_api.h"
 #include "core/coordination/job_cache.h"
 #include "core/coordination/state_limits.h"
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -6,7 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "base/constants.h"
+#include "base/constants/leader_election.h"
+#include "base/constants/placement.h"
+#include "base/constants/user_requests.h"
 #include "scripted_leader.h"
 
 namespace sorrelwood {
--- a/tests/loopback/small_tasks_test.cc
+++ b/tests/loopback/small_tasks_test.cc
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "base/constants.h"
+#include "base/constants/user_requests.h"
 #include "loopback/loopback_cluster.h"
 
 namespace sorrelwood::test {
--- a/tests/peer_status_test.cc
+++ b/tests/peer_status_test.cc
@@ -7,7 +7,8 @@
 #include <variant>
 #include <vector>
 
-#include "base/constants.h"
+#include "base/constants/peers.h"
+#include "base/constants/user_requests.h"
 #include "core/controller/peer_status_exchange.h"
 #include "peer/peer_status_codec.h"
 
--- a/tests/protocol_test.cc
+++ b/tests/protocol_test.cc
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "base/constants.h"
+#include "base/constants/user_requests.h"
 #include "core/coordination/keys.h"
 #include "protocol/client_codec.h"
 #include "protocol/cloud_codec.h"
--- a/tests/scripted_leader.h
+++ b/tests/scripted_leader.h
@@ -13,7 +13,6 @@
 #include <utility>
 #include <vector>
 
-#include "base/constants.h"
 #include "core/controller/controller.h"
 #include "core/coordination/keys.h"
 #include "make_job.h"
--- a/tests/server_test.cc
+++ b/tests/server_test.cc
@@ -9,7 +9,7 @@
 #include <thread>
 #include <vector>
 
-#include "base/constants.h"
+#include "base/constants/http_connections.h"
 #include "concurrency/clocks.h"
 #include "http/connection_table.h"
 #include "http/request_queue.h"
--- a/tests/simulation/invariants/cancelled_jobs.cc
+++ b/tests/simulation/invariants/cancelled_jobs.cc
@@ -1,4 +1,4 @@
-#include "base/constants.h"
+#include "base/constants/leader_election.h"
 #include "simulation/invariants/invariants.h"
 #include "simulation/simulated_cluster.h"
 
--- a/tests/simulation/workload.cc
+++ b/tests/simulation/workload.cc
@@ -4,7 +4,7 @@
 #include <string>
 #include <utility>
 
-#include "base/constants.h"
+#include "base/constants/user_requests.h"
 
 namespace sorrelwood::test {
 namespace {
--- a/tests/state_limits_test.cc
+++ b/tests/state_limits_test.cc
@@ -6,7 +6,7 @@
 #include <map>
 #include <set>
 
-#include "base/constants.h"
+#include "base/constants/user_requests.h"
 #include "core/api/job_api.h"
 #include "core/coordination/completion_store.h"
 #include "core/coordination/keys.h"
--- a/tests/state_writer_test.cc
+++ b/tests/state_writer_test.cc
@@ -9,7 +9,8 @@
 #include <utility>
 #include <variant>
 
-#include "base/constants.h"
+#include "base/constants/state_service.h"
+#include "base/constants/user_requests.h"
 #include "core/coordination/keys.h"
 #include "protocol/state_service_codec.h"
 #include "scripted_leader.h"
--- a/tests/worker_lease_test.cc
+++ b/tests/worker_lease_test.cc
@@ -7,7 +7,9 @@
 #include <utility>
 #include <vector>
 
-#include "base/constants.h"
+#include "base/constants/clocks.h"
+#include "base/constants/leader_election.h"
+#include "base/constants/workers.h"
 #include "core/coordination/keys.h"
 #include "core/model/settings.h"
 #include "scripted_leader.h"
