--- a/tests/job_records_test.cc
+++ b/tests/job_records_test.cc
@@ -172,14 +172,19 @@
     ASSERT_TRUE(cache_.loaded());
   }
   void AnswerLastListing() {
+    ASSERT_NO_FATAL_FAILURE(AnswerLatest("list " + keys::kLivePrefix));
+  }
+  // Answers the latest request of this name, which is not carried out yet.
+  void AnswerLatest(const std::string& name) {
     SendActions();
-    ManualStateService::Request* listing = nullptr;
+    ManualStateService::Request* latest = nullptr;
     for (ManualStateService::Request& request : state_.requests())
-      if (request.name == "list " + keys::kLivePrefix) listing = &request;
-    ASSERT_NE(listing, nullptr);
-    ASSERT_FALSE(listing->result);
-    const StateResult result = state_.TakeAnswer(listing);
+      if (request.name == name) latest = &request;
+    ASSERT_NE(latest, nullptr) << name;
+    ASSERT_FALSE(latest->result) << name;
+    const StateResult result = state_.TakeAnswer(latest);
     context_.Deliver(result);
+    SendActions();
   }
 
   // Refuses the read of the final key, as the state service does above its
@@ -277,6 +282,44 @@
   EXPECT_EQ(cache_.FindFinalState(kJob), FinalState::kCancelled);
 }
 
+class JobRecordsOfSource : public JobRecords,
+                           public ::testing::WithParamInterface<RecordSource> {
+};
+
+// Guards against a job that a late record brings back after it was cancelled at
+// this controller, whose watch has shown neither its submission nor its end.
+TEST_P(JobRecordsOfSource, BringNothingBackAfterACancellationHere) {
+  const std::string live_key = keys::ForLiveJob(kJob);
+  ASSERT_NO_FATAL_FAILURE(ReadRecordBefore(LaterNews::kWatch, GetParam()));
+  api_.Cancel(kUserRequest + 1, kJob);
+  ASSERT_NO_FATAL_FAILURE(AnswerLatest("get " + live_key));
+  ASSERT_NO_FATAL_FAILURE(AnswerLatest("transact " + live_key));
+  ExpectToldCancelled();
+  int added = 0;
+  cache_.on_job_added = [&added](const std::string&) { ++added; };
+  ASSERT_NO_FATAL_FAILURE(Answer(record_request_));
+  AnswerFinalKey();
+  EXPECT_FALSE(cache_.FindLiveJob(kJob));
+  EXPECT_EQ(added, 0);
+  ExpectToldCancelled();
+}
+
+// Guards against a live job that ends because a listing, carried out before its
+// submission and answered after it, lacks it.
+TEST_F(JobRecords, AListingOlderThanASubmissionEndsNothing) {
+  LoadCache();
+  ApplyFailoverListing();
+  ASSERT_NO_FATAL_FAILURE(CarryOut("list " + keys::kLivePrefix));
+  api_.Submit(kUserRequest, MakeSmallJob(kJob).spec);
+  ASSERT_NO_FATAL_FAILURE(Answer("transact " + keys::ForLiveJob(kJob)));
+  EXPECT_EQ(answer_.status, 201);
+  int ended = 0;
+  cache_.on_job_ended = [&ended](const auto&...) { ++ended; };
+  ASSERT_NO_FATAL_FAILURE(Answer("list " + keys::kLivePrefix));
+  EXPECT_TRUE(cache_.FindLiveJob(kJob));
+  EXPECT_EQ(ended, 0);
+}
+
 // Answers that show the end of a job, after other news of it.
 class JobEndTest
     : public JobRecords,
@@ -397,6 +440,9 @@
                                        "ListingAfter410", "FailoverListing"};
   return kNames[static_cast<int>(news)];
 }
+std::string SourceName(const ::testing::TestParamInfo<RecordSource>& test) {
+  return NameOf(test.param);
+}
 template <typename Case>
 std::string CaseName(const ::testing::TestParamInfo<Case>& test) {
   return std::string(NameOf(std::get<0>(test.param))) + "BeforeThe" +
@@ -425,6 +471,8 @@
                                          LaterNews::kFailoverListing)),
     CaseName<JobRecordsTest::ParamType>);
 
+INSTANTIATE_TEST_SUITE_P(EachSource, JobRecordsOfSource,
+                         ::testing::ValuesIn(kSources), SourceName);
 INSTANTIATE_TEST_SUITE_P(
     EachOrder, JobEndTest,
     ::testing::Combine(
