--- a/tests/answer_orders_test.cc
+++ b/tests/answer_orders_test.cc
@@ -29,6 +29,7 @@
 constexpr size_t kKeptChanges = 5;
 constexpr size_t kRecentJobs = 3;
 constexpr double kSettleS = 12;
+constexpr double kOutageS = 3;
 constexpr char kNode[] = "node-0";
 constexpr char kOtherNode[] = "node-1";
 
@@ -104,6 +105,7 @@
         {4, &RandomOrders::RefuseOne},
         {4, &RandomOrders::LoseOneAnswer},
         {2, &RandomOrders::CarryOutLateRequest},
+        {1, &RandomOrders::PassOutage},
         {4, &RandomOrders::SubmitElsewhere},
         {4, &RandomOrders::EndElsewhere},
         {12, &RandomOrders::AskUser},
@@ -194,6 +196,26 @@
     state_.CarryOut(&late_requests_.back());
     late_requests_.pop_back();
   }
+  // Everything but open watches is refused. Answers to what was carried out
+  // before arrive later.
+  void PassOutage() {
+    for (const double until = now_ + kOutageS; now_ < until;) {
+      Tick();
+      RefuseAllButWatches();
+    }
+  }
+  void RefuseAllButWatches() {
+    std::vector<uint64_t> refused;
+    for (const ManualStateService::Request& request : state_.requests())
+      if (!request.result &&
+          !std::holds_alternative<StateWatch>(request.action))
+        refused.push_back(IdOf(request));
+    for (const uint64_t id : refused) {
+      state_.requests().remove_if(
+          [id](const auto& request) { return IdOf(request) == id; });
+      DeliverFailure(id, Outcome::kRefused);
+    }
+  }
   void DeliverFailure(uint64_t id, Outcome outcome) {
     StateResult result;
     result.id = id;
