--- a/tests/answer_orders_test.cc
+++ b/tests/answer_orders_test.cc
@@ -338,8 +338,9 @@
   }
   // Empty: the job has not ended.
   static std::string FinalStateIn(const std::string& body) {
-    for (const std::string state : {kCancelled, kDone})
-      if (body.find("\"status\":\"" + state + "\"") != std::string::npos)
+    for (const char* state : {kCancelled, kDone})
+      if (body.find("\"status\":\"" + std::string(state) + "\"") !=
+          std::string::npos)
         return state;
     return "";
   }
